--- /dev/null
+++ b/daemon/platform/main.cc
@@ -0,0 +1,94 @@
+// mangovalved_platform: the serving daemon of one host on the platform that
+// platform/ adapts to.
+//
+// The settings file is named by --settings, or by the environment variable
+// MANGOVALVE_CONFIG. Exit codes: 0 after a drain, 1 if it could not start, 2
+// for bad usage or bad settings. SIGTERM drains.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include <absl/strings/str_format.h>
+#include <gflags/gflags.h>
+
+#include "mangovalve/serving/daemon.h"
+#include "mangovalve/telemetry/event_log.h"
+#include "platform/document.h"
+#include "platform/messages.h"
+#include "platform/names.h"
+#include "platform/store.h"
+
+DEFINE_string(settings, "", "settings file (TOML)");
+DEFINE_bool(check_settings, false, "check the settings and exit");
+
+namespace mangovalve {
+namespace {
+
+constexpr int kBadUsage = 2;
+
+auto SettingsPath() -> std::string
+{
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const auto* path = std::getenv("MANGOVALVE_CONFIG");
+  return path == nullptr ? "" : path;
+}
+
+auto Serve(const ServingSettings& aSettings) -> int
+{
+  static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+  asio::io_context loop(1);
+  ServingDaemon daemon(
+    loop,
+    aSettings,
+    platform::MakeProtocol(),
+    { platform::kConfigurationKey,
+      platform::ReadDocument,
+      platform::ReadRegistration },
+    [&aSettings](ConnectionPool& aPool) {
+      return platform::MakeTables(aPool, aSettings.mStore);
+    });
+  const auto started = daemon.Start();
+  if (!started) {
+    LogEvent(
+      Severity::Error, "start_failed", { { "reason", started.error() } });
+    return EXIT_FAILURE;
+  }
+  loop.run();
+  // Connections and tasks end with the process; nothing of them must be kept.
+  std::fflush(stdout);
+  std::_Exit(EXIT_SUCCESS);
+}
+
+auto Run() -> int
+{
+  const auto path = SettingsPath();
+  if (path.empty()) {
+    absl::FPrintF(stderr, "mangovalved_platform: --settings FILE is required\n");
+    return kBadUsage;
+  }
+  const auto settings = ReadServingSettings(path);
+  if (!settings) {
+    absl::FPrintF(stderr, "%s\n", settings.error());
+    return kBadUsage;
+  }
+  if (FLAGS_check_settings) {
+    absl::PrintF("%s: settings are valid\n", path);
+    return EXIT_SUCCESS;
+  }
+  StartEventLog(settings->mLogLevel, LogTarget::StandardOutput);
+  return Serve(*settings);
+}
+
+} // namespace
+} // namespace mangovalve
+
+auto main(int argc, char** argv) -> int
+{
+  gflags::SetUsageMessage(
+    "mangovalved_platform --settings FILE [--check_settings]");
+  gflags::SetVersionString(MANGOVALVE_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return mangovalve::Run();
+}
--- a/mangovalve/base/id.cc
+++ b/mangovalve/base/id.cc
@@ -1,5 +1,4 @@
-// Identifiers and hashing: OpenSSL for entropy and SHA-256, xxHash for stable
-// hashes.
+// Identifiers and digests: OpenSSL for entropy and SHA-256.
 #include "mangovalve/base/id.h"
 
 #include <array>
@@ -9,7 +8,6 @@
 #include <absl/strings/str_format.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
-#include <xxhash.h>
 
 namespace mangovalve {
 
@@ -29,11 +27,6 @@
   return absl::StrFormat("%016x%016x", aId.mHigh, aId.mLow);
 }
 
-auto StableHash(std::string_view aData, std::uint64_t aSeed) -> std::uint64_t
-{
-  return XXH3_64bits_withSeed(aData.data(), aData.size(), aSeed);
-}
-
 auto Sha256Hex(std::string_view aData) -> std::string
 {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
--- a/mangovalve/base/time.h
+++ b/mangovalve/base/time.h
@@ -6,6 +6,8 @@
 
 #include <chrono>
 
+#include <time.h>
+
 namespace mangovalve {
 
 // Local monotonic time: deadlines, leases, timeouts.
@@ -13,6 +15,25 @@
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
+// Monotonic time that also counts while the machine is suspended. For leases,
+// which run out at their giver in the meantime.
+struct BootClock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static auto now() noexcept -> time_point
+  {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
 // Append time that the platform's log gave a record, since the Unix epoch.
 // Only log time may decide anything during replay.
 using LogTime = std::chrono::sys_time<std::chrono::milliseconds>;
--- /dev/null
+++ b/mangovalve/batch/flat_table.h
@@ -0,0 +1,48 @@
+// FlatBuffers tables as byte strings: packed, and verified before they are
+// read.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <flatbuffers/flatbuffers.h>
+
+namespace mangovalve {
+
+template<typename TableType>
+auto PackTable(const typename TableType::NativeTableType& aObject)
+  -> std::string
+{
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(TableType::Pack(builder, &aObject));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+// Null when the bytes are not such a table.
+template<typename TableType>
+auto VerifiedTable(const std::string& aBytes) -> const TableType*
+{
+  const auto* data = reinterpret_cast<const std::uint8_t*>(aBytes.data());
+  flatbuffers::Verifier verifier(data, aBytes.size());
+  return verifier.VerifyBuffer<TableType>(nullptr)
+           ? flatbuffers::GetRoot<TableType>(data)
+           : nullptr;
+}
+
+// A copy of the table; nothing when the bytes are not such a table.
+template<typename TableType>
+auto UnpackTable(const std::string& aBytes)
+  -> std::optional<typename TableType::NativeTableType>
+{
+  const auto* table = VerifiedTable<TableType>(aBytes);
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  typename TableType::NativeTableType object;
+  table->UnPackTo(&object);
+  return object;
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/item_runner.cc
@@ -0,0 +1,343 @@
+// Runs batch items on slots that online requests leave free.
+#include "mangovalve/batch/item_runner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/online/event_stream.h"
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+// Most items that one daemon starts on a service at one look at the load.
+constexpr std::size_t kMaxStarts = 8;
+
+constexpr double kDurationDecay = 0.9; // weight of the past per run
+
+// Appends the data of the events that follow what the item has; false if
+// events are missing in between.
+auto AppendEvents(BatchItem& aItem, const std::vector<StreamEvent>& aEvents)
+  -> bool
+{
+  for (const auto& event : aEvents) {
+    const auto order = OrderOf(event, aItem.mLastEvent);
+    if (order == EventOrder::Gap) {
+      return false;
+    }
+    if (order == EventOrder::Repeated) {
+      continue;
+    }
+    if (aItem.mLastEvent || !aItem.mOutput.empty()) {
+      aItem.mOutput += '\n';
+    }
+    aItem.mOutput += EventData(event);
+    aItem.mLastEvent = event.mId ? event.mId : aItem.mLastEvent;
+  }
+  return true;
+}
+
+} // namespace
+
+auto WallNow() -> WallTime
+{
+  return std::chrono::floor<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
+}
+
+auto ItemRunner::Run() -> Task<>
+{
+  for (;;) {
+    const auto now = Clock::now();
+    Yield(now);
+    if (!mPaused) {
+      Abandon();
+      Start(now);
+    }
+    co_await SleepUntil(now + mPolicy.mTick);
+  }
+}
+
+auto ItemRunner::IsUrgent(const RunnableItem& aItem) const -> bool
+{
+  const std::chrono::duration<double> left = aItem.mDue - WallNow();
+  return left.count() < mPolicy.mUrgentRuns * mMeanSeconds;
+}
+
+auto ItemRunner::Stop(RunningItem& aRun) -> void
+{
+  aRun.mStopped = true;
+  if (aRun.mStop) {
+    aRun.mStop();
+  }
+}
+
+auto ItemRunner::StopJob(const BatchJob& aJob) -> void
+{
+  for (const auto& run : mRunning) {
+    if (run->mItem.mJob.get() == &aJob) {
+      Stop(*run);
+    }
+  }
+}
+
+auto ItemRunner::Yield(TimePoint aNow) -> void
+{
+  if (mRunning.empty()) {
+    return;
+  }
+  for (auto& [service, pool] : mState.mPools) {
+    const auto candidates = Candidates(mState, pool, aNow);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      const auto& endpoint = pool.mEndpoints[i];
+      auto count =
+        BatchToStop(candidates[i], endpoint->mOwn.mBatch, mState.mRandom);
+      // The newest first: they have the least to read again.
+      for (auto run = mRunning.rbegin(); run != mRunning.rend() && count > 0;
+           ++run) {
+        if ((*run)->mEndpoint == endpoint && !(*run)->mStopped &&
+            !IsUrgent((*run)->mItem)) {
+          Stop(**run);
+          --count;
+        }
+      }
+    }
+  }
+}
+
+auto ItemRunner::Abandon() -> void
+{
+  if (!mState.mDocument) {
+    return;
+  }
+  for (const auto& partition : mPorts.mPartitions()) {
+    const auto items =
+      AbandonedItems(partition->Jobs(), *mState.mDocument, WallNow());
+    for (const auto& item : items) {
+      LogEvent(Severity::Info,
+               "item_abandoned",
+               { { "job", item.mJob->mId },
+                 { "id", item.mJob->mItems[item.mIndex].mSubmitted.id } });
+      partition->Finish(item.mJob, item.mIndex, false, "");
+    }
+  }
+}
+
+auto ItemRunner::Start(TimePoint aNow) -> void
+{
+  if (!mState.mDocument) {
+    return;
+  }
+  for (auto& [service, pool] : mState.mPools) {
+    StartOn(service, pool, aNow);
+  }
+}
+
+auto ItemRunner::StartOn(const std::string& aService,
+                         ServicePool& aPool,
+                         TimePoint aNow) -> void
+{
+  std::vector<std::pair<RunnableItem, JobPartitionPtr>> items;
+  for (const auto& partition : mPorts.mPartitions()) {
+    for (auto& item : RunnableItems(
+           partition->Jobs(), *mState.mDocument, aService, kMaxStarts, aNow)) {
+      items.emplace_back(std::move(item), partition);
+    }
+  }
+  if (items.empty()) {
+    return;
+  }
+  std::sort(items.begin(), items.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first.mDue < aRight.first.mDue;
+  });
+  // Owners see the same free slots at the same time, so each takes its part.
+  const auto spare =
+    SpareForBatch(Candidates(mState, aPool, aNow), mState.mPlacement);
+  const auto share = spare / static_cast<double>(mPorts.mOwners());
+  auto starts = static_cast<std::size_t>(share + Uniform(mState.mRandom));
+  starts = std::min({ starts, items.size(), kMaxStarts });
+  for (std::size_t i = 0; i < starts; ++i) {
+    const auto place = PlaceBatch(
+      Candidates(mState, aPool, aNow), mState.mPlacement, mState.mRandom);
+    if (!place) {
+      return;
+    }
+    auto run = std::make_shared<RunningItem>();
+    run->mPartition = items[i].second;
+    run->mItem = items[i].first;
+    run->mEndpoint = aPool.mEndpoints[*place];
+    run->mStartedAt = aNow;
+    run->mItem.mJob->mItems[run->mItem.mIndex].mRunning = true;
+    mRunning.push_back(run);
+    Spawn(mState.mLoop, RunOne(run));
+  }
+}
+
+auto ItemRunner::RunOne(RunningItemPtr aRun) -> Task<>
+{
+  const auto job = aRun->mItem.mJob;
+  const auto index = aRun->mItem.mIndex;
+  auto end = End::Interrupted;
+  {
+    const EndpointUse use(mState, aRun->mEndpoint, Work::Batch);
+    end = co_await Exchange(aRun);
+  }
+  aRun->mStop = nullptr;
+  mRunning.remove(aRun);
+  auto& item = job->mItems[index];
+  item.mRunning = false;
+  const auto* route =
+    mState.mDocument
+      ? FindRoute(*mState.mDocument, job->mHost, item.mSubmitted.path)
+      : nullptr;
+  if (end == End::Failed) {
+    ++item.mFailures;
+    item.mNotBefore = Clock::now() + mPolicy.mRetryPause;
+  }
+  if (end == End::Failed && route != nullptr &&
+      item.mFailures >= route->mMaxAttempts) {
+    end = End::Hopeless;
+  }
+  LogEvent(Severity::Info,
+           "item",
+           { { "id", item.mSubmitted.id },
+             { "job", job->mId },
+             { "endpoint", aRun->mEndpoint->mRegistration.mId },
+             { "events", absl::StrCat(aRun->mEvents) },
+             { "failures", absl::StrCat(item.mFailures) },
+             { "outcome",
+               end == End::Completed  ? "completed"
+               : end == End::Hopeless ? "given_up"
+               : aRun->mStopped       ? "stopped"
+                                      : "interrupted" } });
+  if (job->mEnded || item.mFinished) {
+    co_return;
+  }
+  if (end == End::Completed) {
+    aRun->mPartition->Finish(job, index, true, std::move(item.mOutput));
+  } else if (end == End::Hopeless) {
+    aRun->mPartition->Finish(job, index, false, "");
+  }
+}
+
+auto ItemRunner::NoteFailure(RunningItem& aRun, std::string_view aReason) -> End
+{
+  if (aRun.mStopped) {
+    return End::Interrupted;
+  }
+  const auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex];
+  LogEvent(Severity::Warn,
+           "attempt_failed",
+           { { "id", item.mSubmitted.id },
+             { "endpoint", aRun.mEndpoint->mRegistration.mId },
+             { "reason", std::string(aReason) } });
+  NoteExchange(mState, *aRun.mEndpoint, ExchangeResult::Failed);
+  return End::Interrupted;
+}
+
+auto ItemRunner::Exchange(RunningItemPtr aRun) -> Task<End>
+{
+  auto& item = aRun->mItem.mJob->mItems[aRun->mItem.mIndex];
+  auto& endpoint = *aRun->mEndpoint;
+  item.mNotBefore = Clock::now() + mPolicy.mRetryPause;
+  auto connection =
+    co_await mState.mPool.Acquire(endpoint.mRegistration.mAddress,
+                                  TimePoint::min(),
+                                  Clock::now() + mPolicy.mConnectTimeout);
+  if (!connection) {
+    NoteExchange(mState, endpoint, ExchangeResult::Refused);
+    co_return End::Interrupted;
+  }
+  if (aRun->mStopped || aRun->mItem.mJob->mEnded) {
+    co_return End::Interrupted;
+  }
+  auto& stream = (*connection)->mStream;
+  aRun->mStop = [&stream] { stream.close(); };
+  Dispatch dispatch;
+  dispatch.mEndpointId = endpoint.mRegistration.mId;
+  dispatch.mTeam = aRun->mItem.mJob->mTeam;
+  dispatch.mResumeAfter = item.mLastEvent;
+  const auto request = mProtocol.mItemRequest(
+    aRun->mItem.mJob->mHost, item.mSubmitted, dispatch);
+  auto error = co_await SendRequest(
+    **connection, request, Clock::now() + mPolicy.mSilence);
+  ResponseParser parser;
+  if (!error) {
+    error = co_await ReadHead(
+      **connection, parser, Clock::now() + mPolicy.mSilence);
+  }
+  auto end = End::Interrupted;
+  if (error) {
+    end = NoteFailure(*aRun, error.message());
+  } else {
+    end = co_await ReadEvents(*aRun, **connection, parser);
+  }
+  aRun->mStop = nullptr;
+  if (!aRun->mStopped && parser.is_done()) {
+    const auto usableUntil = ReusableUntil(**connection, parser, Clock::now());
+    mState.mPool.Release(std::move(*connection), usableUntil);
+  }
+  co_return end;
+}
+
+auto ItemRunner::ReadEvents(RunningItem& aRun,
+                            ClientConnection& aConnection,
+                            ResponseParser& aParser) -> Task<End>
+{
+  auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex];
+  const auto facts = mProtocol.mReadAnswer(aParser.get().base());
+  const auto status = aParser.get().result_int();
+  if (facts.mLoad) {
+    NoteReportedLoad(mState, *aRun.mEndpoint, *facts.mLoad);
+  }
+  if (!facts.mId.empty() && facts.mId != item.mSubmitted.id) {
+    co_return NoteFailure(aRun, "answer to another request");
+  }
+  if (facts.mNotRun || facts.mOtherEndpoint) {
+    NoteExchange(mState,
+                 *aRun.mEndpoint,
+                 facts.mOtherEndpoint ? ExchangeResult::Leaving
+                                      : ExchangeResult::Ignored);
+    co_return End::Interrupted;
+  }
+  if (mProtocol.mIsHopeless(status)) {
+    NoteExchange(mState, *aRun.mEndpoint, ExchangeResult::Good);
+    co_return End::Hopeless;
+  }
+  if (status == static_cast<unsigned>(http::status::internal_server_error)) {
+    NoteFailure(aRun, "status 500");
+    co_return End::Failed;
+  }
+  if (status != static_cast<unsigned>(http::status::ok) || !facts.mSigned) {
+    co_return NoteFailure(aRun, absl::StrCat("status ", status));
+  }
+  EventSplitter splitter;
+  while (!aParser.is_done()) {
+    const auto bytes = co_await ReadSomeBody(
+      aConnection, aParser, Clock::now() + mPolicy.mSilence);
+    if (aRun.mStopped) {
+      co_return End::Interrupted;
+    }
+    if (!bytes) {
+      co_return NoteFailure(aRun, bytes.error().message());
+    }
+    const auto events = SplitEvents(splitter, *bytes);
+    aRun.mEvents += static_cast<std::uint32_t>(events.size());
+    if (!AppendEvents(item, events)) {
+      co_return NoteFailure(aRun, "events are missing");
+    }
+  }
+  if (!splitter.mPartial.empty()) {
+    co_return NoteFailure(aRun, "ended within an event");
+  }
+  NoteExchange(mState, *aRun.mEndpoint, ExchangeResult::Good);
+  const std::chrono::duration<double> took = Clock::now() - aRun.mStartedAt;
+  mMeanSeconds = mMeanSeconds == 0 ? took.count()
+                                   : kDurationDecay * mMeanSeconds +
+                                       (1 - kDurationDecay) * took.count();
+  co_return End::Completed;
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/job_partition.cc
@@ -0,0 +1,320 @@
+// One partition of batch jobs at its owner.
+#include "mangovalve/batch/job_partition.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+// The same for all owners: the fence compares their tokens under one name.
+constexpr auto kWriterName = "job-owner";
+
+constexpr auto kAnswerTimeout = std::chrono::milliseconds(1500);
+constexpr auto kRetryPause = std::chrono::milliseconds(100);
+
+// Calls of more bytes keep the partition busy for long, and what waits behind
+// them with it.
+constexpr std::size_t kBytesPerAppend = 512 * 1024;
+
+auto BytesOf(const std::vector<KeyedRecord>& aRecords) -> std::size_t
+{
+  std::size_t bytes = 0;
+  for (const auto& record : aRecords) {
+    bytes += record.mKey.size() + record.mValue.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+JobPartition::JobPartition(asio::io_context& aLoop,
+                           const TablePorts& aTables,
+                           std::uint32_t aPartition,
+                           std::uint64_t aGeneration)
+  : mLoop(aLoop)
+  , mTables(aTables)
+  , mPartition(aPartition)
+  , mGeneration(aGeneration)
+  , mQueued(aLoop)
+{
+}
+
+auto JobPartition::Run() -> Task<>
+{
+  const auto self = shared_from_this(); // lives until its last append
+  if (co_await Open()) {
+    mLoaded = true;
+    LogEvent(Severity::Info,
+             "partition_owned",
+             { { "partition", absl::StrCat(mPartition) },
+               { "generation", absl::StrCat(mGeneration) },
+               { "jobs", absl::StrCat(mTable.mJobs.size()) } });
+    co_await AppendQueued();
+  }
+  mStopped = true;
+  WakeWaiters();
+  LogEvent(Severity::Info,
+           "partition_left",
+           { { "partition", absl::StrCat(mPartition) },
+             { "generation", absl::StrCat(mGeneration) } });
+}
+
+auto JobPartition::Stop() -> void
+{
+  mStopped = true;
+  mQueued.Give();
+  WakeWaiters();
+}
+
+auto JobPartition::NoteAnswer(bool aAnswered) -> void
+{
+  if (aAnswered != mStoreAnswers) {
+    LogEvent(aAnswered ? Severity::Info : Severity::Warn,
+             aAnswered ? "partition_store_back" : "partition_store_away",
+             { { "partition", absl::StrCat(mPartition) } });
+  }
+  mStoreAnswers = aAnswered;
+}
+
+auto JobPartition::Open() -> Task<bool>
+{
+  // Without records, the append only sets the fence's token. After it no
+  // former owner can write, so what is loaded next stays complete.
+  if (!co_await AppendUntilDurable({})) {
+    co_return false;
+  }
+  while (!mStopped) {
+    if (co_await LoadPages()) {
+      co_return true;
+    }
+    co_await SleepUntil(Clock::now() + kRetryPause);
+  }
+  co_return false;
+}
+
+auto JobPartition::LoadPages() -> Task<bool>
+{
+  std::vector<KeyedRecord> records;
+  std::string after;
+  for (auto more = true; more;) {
+    auto page = co_await mTables.mNewest(
+      Table::Jobs, mPartition, after, Clock::now() + kAnswerTimeout);
+    NoteAnswer(page.has_value());
+    if (!page) {
+      co_return false;
+    }
+    more = page->mMore && !page->mRecords.empty();
+    after = page->mRecords.empty() ? after : page->mRecords.back().mKey;
+    std::move(page->mRecords.begin(),
+              page->mRecords.end(),
+              std::back_inserter(records));
+  }
+  mTable = LoadJobs(records);
+  co_return true;
+}
+
+auto JobPartition::AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
+  -> Task<bool>
+{
+  const auto sequence = mSequence;
+  while (!mStopped || !aRecords.empty()) {
+    const auto result = co_await mTables.mAppend(
+      Table::Jobs,
+      mPartition,
+      aRecords,
+      WriterFence{ kWriterName, mGeneration, sequence },
+      Clock::now() + kAnswerTimeout);
+    const auto kind =
+      result ? TableErrorKind::NotDone : result.error().mKind;
+    NoteAnswer(result || kind == TableErrorKind::Fenced ||
+               kind == TableErrorKind::Sequence);
+    if (result) {
+      mSequence = sequence + 1;
+      co_return true;
+    }
+    if (kind == TableErrorKind::Fenced) {
+      LogEvent(Severity::Warn,
+               "partition_fenced",
+               { { "partition", absl::StrCat(mPartition) },
+                 { "generation", absl::StrCat(mGeneration) } });
+      co_return false;
+    }
+    if (kind == TableErrorKind::Sequence) {
+      // The store has the record if it expects the next number; any other
+      // number means that the state here is not what the store has.
+      mSequence = sequence + 1;
+      co_return result.error().mExpected == sequence + 1;
+    }
+    if (mStopped) {
+      co_return false;
+    }
+    co_await SleepUntil(Clock::now() + kRetryPause);
+  }
+  co_return false;
+}
+
+auto JobPartition::TakeBatch(std::vector<Write>& aWrites)
+  -> std::vector<KeyedRecord>
+{
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  const auto limit = std::min(kBytesPerAppend, mTables.mMaxCallBytes / 2);
+  while (!mQueue.empty() && (records.empty() || bytes < limit)) {
+    auto& write = mQueue.front();
+    bytes += BytesOf(write.mRecords);
+    if (!records.empty() && bytes >= limit) {
+      break;
+    }
+    std::move(write.mRecords.begin(),
+              write.mRecords.end(),
+              std::back_inserter(records));
+    aWrites.push_back(std::move(write));
+    mQueue.pop_front();
+  }
+  return records;
+}
+
+auto JobPartition::AppendQueued() -> Task<>
+{
+  while (!mStopped) {
+    if (mQueue.empty()) {
+      co_await mQueued.WaitUntil(TimePoint::max());
+      continue;
+    }
+    std::vector<Write> writes;
+    const auto records = TakeBatch(writes);
+    if (!co_await AppendUntilDurable(records)) {
+      co_return;
+    }
+    for (const auto& write : writes) {
+      write.mOnDurable();
+    }
+    WakeWaiters();
+  }
+}
+
+auto JobPartition::Enqueue(std::vector<KeyedRecord> aRecords,
+                           std::function<void()> aOnDurable) -> void
+{
+  // A write of more bytes than one call takes goes in several; its last record
+  // makes the others valid.
+  std::vector<KeyedRecord> part;
+  std::size_t bytes = 0;
+  for (auto& record : aRecords) {
+    const auto size = record.mKey.size() + record.mValue.size();
+    if (!part.empty() && bytes + size > kBytesPerAppend) {
+      mQueue.push_back({ std::exchange(part, {}), [] {} });
+      bytes = 0;
+    }
+    bytes += size;
+    part.push_back(std::move(record));
+  }
+  mQueue.push_back({ std::move(part), std::move(aOnDurable) });
+  mQueued.Give();
+}
+
+auto JobPartition::WakeWaiters() -> void
+{
+  for (auto* waiter : mWaiters) {
+    waiter->Give();
+  }
+}
+
+auto JobPartition::WaitUntilDurable(std::shared_ptr<bool> aDurable,
+                                    TimePoint aDeadline) -> Task<bool>
+{
+  const auto self = shared_from_this();
+  Wakeup wakeup(mLoop);
+  mWaiters.push_back(&wakeup);
+  while (!*aDurable && !mStopped && Clock::now() < aDeadline) {
+    co_await wakeup.WaitUntil(aDeadline);
+  }
+  std::erase(mWaiters, &wakeup);
+  co_return *aDurable;
+}
+
+auto JobPartition::Submit(BatchJobPtr aJob,
+                          std::uint64_t aQueued,
+                          std::uint64_t aLimit,
+                          TimePoint aDeadline) -> Task<JobOutcome>
+{
+  if (!Active()) {
+    co_return JobOutcome::NotOwner;
+  }
+  auto job = FindJob(mTable, aJob->mTeam, aJob->mId);
+  if (!job) {
+    if (aLimit > 0 && aQueued + TotalTokens(*aJob) > aLimit) {
+      co_return JobOutcome::OverLimit;
+    }
+    if (!mStoreAnswers) {
+      co_return JobOutcome::NotDone;
+    }
+    job = std::move(aJob);
+    mTable.mJobs[{ job->mTeam, job->mId }] = job;
+    Enqueue(JobRecords(*job, mTables.mMaxRecordBytes),
+            [job] { job->mDurable = true; });
+  }
+  const std::shared_ptr<bool> durable(job, &job->mDurable);
+  co_return co_await WaitUntilDurable(durable, aDeadline)
+    ? JobOutcome::Done
+    : JobOutcome::Unknown;
+}
+
+auto JobPartition::End(BatchJobPtr aJob, TimePoint aDeadline)
+  -> Task<JobOutcome>
+{
+  aJob->mEnded = true;
+  const auto durable = std::make_shared<bool>(false);
+  Enqueue({ JobRecord(*aJob, mTables.mMaxRecordBytes) },
+          [durable] { *durable = true; });
+  co_return co_await WaitUntilDurable(durable, aDeadline) ? JobOutcome::Done
+                                                          : JobOutcome::Unknown;
+}
+
+auto JobPartition::Finish(BatchJobPtr aJob,
+                          std::uint32_t aItem,
+                          bool aCompleted,
+                          std::string aOutput) -> void
+{
+  auto& item = aJob->mItems[aItem];
+  if (item.mFinished || mStopped) {
+    return;
+  }
+  item.mFinished = true;
+  const auto result = std::make_shared<BatchResult>(
+    BatchResult{ aItem, aCompleted, std::move(aOutput) });
+  auto records = ResultRecords(
+    *aJob, aJob->mNextPosition++, *result, mTables.mMaxRecordBytes);
+  Enqueue(std::move(records), [aJob, result] {
+    auto& done = aJob->mItems[result->mItem];
+    done.mSubmitted.body = {};
+    done.mOutput = {};
+    aJob->mResults.push_back(std::move(*result));
+  });
+}
+
+auto JobPartition::Drop(BatchJobPtr aJob) -> void
+{
+  mTable.mJobs.erase({ aJob->mTeam, aJob->mId });
+  Enqueue(DropRecords(*aJob, mTables.mMaxRecordBytes), [] {});
+}
+
+auto JobPartition::WaitForResult(BatchJobPtr aJob,
+                                 std::uint32_t aPosition,
+                                 TimePoint aUntil) -> Task<>
+{
+  const auto self = shared_from_this();
+  Wakeup wakeup(mLoop);
+  mWaiters.push_back(&wakeup);
+  while (aJob->mResults.size() <= aPosition && !IsOver(*aJob) && !mStopped &&
+         Clock::now() < aUntil) {
+    co_await wakeup.WaitUntil(aUntil);
+  }
+  std::erase(mWaiters, &wakeup);
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/job_partition.h
@@ -0,0 +1,109 @@
+// One partition of batch jobs at the daemon that owns it.
+//
+// The store's group hands a partition to one daemon at a time, and its fence
+// keeps a former owner from writing. The owner loads the partition's records,
+// then is the only one to accept jobs and to append results, so each result has
+// one position. Nothing is answered before the store has it: a job is accepted,
+// a result listed and a job's end confirmed only once their records are
+// durable.
+//
+// While the store is away, appends are kept and sent again with the same
+// sequence number; what arrives meanwhile is refused without an attempt.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mangovalve/batch/job_table.h"
+#include "mangovalve/loop/wakeup.h"
+#include "mangovalve/serving/protocol.h"
+#include "mangovalve/serving/tables.h"
+
+namespace mangovalve {
+
+class JobPartition : public std::enable_shared_from_this<JobPartition>
+{
+public:
+  JobPartition(asio::io_context& aLoop,
+               const TablePorts& aTables,
+               std::uint32_t aPartition,
+               std::uint64_t aGeneration);
+
+  // Fences former owners, loads the jobs, then appends records until it is
+  // stopped or fenced itself.
+  auto Run() -> Task<>;
+  auto Stop() -> void;
+
+  auto Number() const -> std::uint32_t { return mPartition; }
+  auto Generation() const -> std::uint64_t { return mGeneration; }
+  // Loaded and not known to have lost the partition.
+  auto Active() const -> bool { return mLoaded && !mStopped; }
+  auto Stopped() const -> bool { return mStopped; }
+  // Whether the last call to the store got an answer.
+  auto StoreAnswers() const -> bool { return mStoreAnswers; }
+  auto Jobs() -> JobTable& { return mTable; }
+
+  // Accepts a job once. aLimit: tokens that its team may have queued on the
+  // route, 0 for no limit; aQueued: what it has queued.
+  auto Submit(BatchJobPtr aJob,
+              std::uint64_t aQueued,
+              std::uint64_t aLimit,
+              TimePoint aDeadline) -> Task<JobOutcome>;
+
+  // Ends a job at its caller's wish.
+  auto End(BatchJobPtr aJob, TimePoint aDeadline) -> Task<JobOutcome>;
+
+  // Records the one result of an item; it is listed once the store has it.
+  auto Finish(BatchJobPtr aJob,
+              std::uint32_t aItem,
+              bool aCompleted,
+              std::string aOutput) -> void;
+
+  // Forgets a job and drops its records.
+  auto Drop(BatchJobPtr aJob) -> void;
+
+  // Returns when the job may have a result at the position, or at aUntil.
+  auto WaitForResult(BatchJobPtr aJob, std::uint32_t aPosition, TimePoint aUntil)
+    -> Task<>;
+
+private:
+  // Records that are appended together, and who waits for them.
+  struct Write
+  {
+    std::vector<KeyedRecord> mRecords;
+    std::function<void()> mOnDurable;
+  };
+
+  auto Open() -> Task<bool>;
+  auto LoadPages() -> Task<bool>;
+  auto AppendQueued() -> Task<>;
+  auto AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
+    -> Task<bool>;
+  auto TakeBatch(std::vector<Write>& aWrites) -> std::vector<KeyedRecord>;
+  auto Enqueue(std::vector<KeyedRecord> aRecords,
+               std::function<void()> aOnDurable) -> void;
+  auto NoteAnswer(bool aAnswered) -> void;
+  auto WakeWaiters() -> void;
+  auto WaitUntilDurable(std::shared_ptr<bool> aDurable, TimePoint aDeadline)
+    -> Task<bool>;
+
+  asio::io_context& mLoop;
+  const TablePorts& mTables;
+  std::uint32_t mPartition;
+  std::uint64_t mGeneration;
+  std::uint64_t mSequence = 0;
+  JobTable mTable;
+  bool mLoaded = false;
+  bool mStopped = false;
+  bool mStoreAnswers = true;
+  std::deque<Write> mQueue; // in the order in which they must be durable
+  Wakeup mQueued;
+  std::vector<Wakeup*> mWaiters; // tasks that wait for something durable
+};
+
+using JobPartitionPtr = std::shared_ptr<JobPartition>;
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/job_service.h
@@ -0,0 +1,104 @@
+// Batch jobs of the whole fleet at one daemon: membership in the group that
+// shares out the partitions, calls of callers, and calls of other daemons.
+//
+// Any daemon takes a caller's call and passes it to the owner of the team's
+// partition, which the owners' load reports name. A daemon that cannot be sure
+// says so instead of "not found".
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "mangovalve/batch/item_runner.h"
+#include "mangovalve/batch/job_partition.h"
+#include "mangovalve/serving/state.h"
+
+namespace mangovalve {
+
+struct JobServicePolicy
+{
+  // A member that has not joined for this long loses its partitions. Shorter
+  // takes over sooner; a few joins may be lost within it.
+  Duration mTimeToLive = std::chrono::milliseconds(2000);
+  Duration mJoinInterval = std::chrono::milliseconds(600);
+  // Bound on a call to the owner, beyond what it may wait for a result.
+  Duration mCallTimeout = std::chrono::milliseconds(1500);
+  // How long a call waits for a partition to get an owner.
+  Duration mOwnerWait = std::chrono::milliseconds(400);
+  // Results stay readable this long after the submission.
+  std::chrono::milliseconds mKeepResults{ 120000 };
+};
+
+class JobService
+{
+public:
+  JobService(ServingState& aState,
+             const Protocol& aProtocol,
+             const TablePorts& aTables);
+
+  // Joins the group and runs items until the loop stops.
+  auto Start() -> void;
+
+  // A call of a caller, whose team has been checked.
+  auto ServeCall(CallerPtr aCaller,
+                 std::string aTeam,
+                 JobCall aCall,
+                 std::string aId) -> Task<>;
+  auto ServeSubmission(CallerPtr aCaller,
+                       std::shared_ptr<Request> aRequest,
+                       std::string aTeam,
+                       CallFacts aFacts) -> Task<>;
+
+  // A call of another daemon; false if the request is none.
+  auto ServePeer(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
+    -> Task<bool>;
+
+  // Adds the partitions owned to a load report.
+  auto AddClaims(wire::LoadReportT& aReport) const -> void;
+
+  // Starts no more items, and gives the partitions back once the running ones
+  // have ended or aUntil has passed.
+  auto Drain(TimePoint aUntil) -> Task<>;
+
+  JobServicePolicy mPolicy;
+
+private:
+  struct Question
+  {
+    JobVerb mVerb = JobVerb::Results;
+    std::string mTeam;
+    wire::JobT mJob;       // Submit
+    wire::JobQueryT mQuery; // the others
+  };
+
+  auto KeepMembership() -> Task<>;
+  auto TakeShare(const GroupShare& aShare) -> void;
+  auto DropOldJobs() -> Task<>;
+  auto LeaseHolds() const -> bool;
+  auto Ask(Question aQuestion) -> Task<JobReply>;
+  auto AskPeer(const std::string& aHost, const Question& aQuestion)
+    -> Task<JobReply>;
+  auto Answer(JobPartitionPtr aPartition, Question aQuestion)
+    -> Task<JobReply>;
+  auto AnswerSubmit(JobPartitionPtr aPartition, wire::JobT aJob)
+    -> Task<JobReply>;
+  auto AnswerQuery(JobPartitionPtr aPartition,
+                   JobVerb aVerb,
+                   wire::JobQueryT aQuery) -> Task<JobReply>;
+  auto OwnPartition(std::uint32_t aPartition) const -> JobPartitionPtr;
+  auto RunnablePartitions() const -> std::vector<JobPartitionPtr>;
+  auto Owners() const -> std::size_t;
+  auto CallDeadline(const Question& aQuestion) const -> TimePoint;
+
+  ServingState& mState;
+  const Protocol& mProtocol;
+  const TablePorts& mTables;
+  ItemRunner mRunner;
+  std::map<std::uint32_t, JobPartitionPtr> mPartitions;
+  std::uint64_t mGeneration = 0;
+  BootClock::time_point mLeaseUntil{};
+  bool mLeaving = false;
+};
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/job_table.cc
@@ -0,0 +1,391 @@
+// The batch jobs of one partition.
+#include "mangovalve/batch/job_table.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include "mangovalve/base/id.h"
+#include "mangovalve/batch/flat_table.h"
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+// Room for keys and framing inside the store's limit on a record.
+constexpr std::size_t kRecordOverhead = 4096;
+
+auto JobKeyText(const std::string& aTeam, const std::string& aId) -> std::string
+{
+  return absl::StrFormat("%016x/%s", StableHash(aTeam), aId);
+}
+
+auto JobKeyText(const BatchJob& aJob) -> std::string
+{
+  return JobKeyText(aJob.mTeam, aJob.mId);
+}
+
+auto BodyKey(const std::string& aJob, std::size_t aItem, std::size_t aPiece)
+  -> std::string
+{
+  return absl::StrFormat("b/%s/%u/%u", aJob, aItem, aPiece);
+}
+
+auto ResultKey(const std::string& aJob,
+               std::size_t aPosition,
+               std::size_t aPiece) -> std::string
+{
+  return absl::StrFormat("r/%s/%u/%u", aJob, aPosition, aPiece);
+}
+
+auto Pieces(std::size_t aSize, std::size_t aPiece) -> std::uint32_t
+{
+  return static_cast<std::uint32_t>((aSize + aPiece - 1) / aPiece);
+}
+
+using Records = std::map<std::string, const std::string*>;
+
+// The concatenated pieces of a body or output; nothing if one is missing.
+template<typename KeyOf>
+auto Join(const Records& aRecords, std::uint32_t aPieces, KeyOf aKeyOf)
+  -> std::optional<std::string>
+{
+  std::string joined;
+  for (std::uint32_t piece = 0; piece < aPieces; ++piece) {
+    const auto found = aRecords.find(aKeyOf(piece));
+    if (found == aRecords.end()) {
+      return std::nullopt;
+    }
+    joined += *found->second;
+  }
+  return joined;
+}
+
+auto LoadBodies(BatchJob& aJob, const Records& aRecords) -> void
+{
+  const auto key = JobKeyText(aJob);
+  for (std::size_t i = 0; i < aJob.mItems.size(); ++i) {
+    auto& item = aJob.mItems[i];
+    const auto body =
+      Join(aRecords, item.mSubmitted.body_pieces, [&](std::uint32_t aPiece) {
+        return BodyKey(key, i, aPiece);
+      });
+    if (body) {
+      item.mSubmitted.body.assign(body->begin(), body->end());
+    }
+  }
+}
+
+auto LoadResults(BatchJob& aJob, const Records& aRecords) -> void
+{
+  const auto key = JobKeyText(aJob);
+  for (;; ++aJob.mNextPosition) {
+    const auto position = aJob.mNextPosition;
+    const auto found = aRecords.find(ResultKey(key, position, 0));
+    if (found == aRecords.end()) {
+      return;
+    }
+    const auto* record = VerifiedTable<wire::ResultRecord>(*found->second);
+    if (record == nullptr || record->item() >= aJob.mItems.size()) {
+      LogEvent(Severity::Error,
+               "result_record_unreadable",
+               { { "job", aJob.mId }, { "position", absl::StrCat(position) } });
+      return;
+    }
+    BatchResult result{ record->item(), record->completed(), {} };
+    if (record->output() != nullptr) {
+      result.mOutput.assign(record->output()->begin(), record->output()->end());
+    }
+    const auto rest =
+      Join(aRecords, record->output_pieces(), [&](std::uint32_t aPiece) {
+        return ResultKey(key, position, aPiece + 1);
+      });
+    result.mOutput += rest.value_or("");
+    aJob.mItems[result.mItem].mFinished = true;
+    aJob.mResults.push_back(std::move(result));
+  }
+}
+
+} // namespace
+
+auto PartitionOf(const std::string& aTeam, std::uint32_t aPartitions)
+  -> std::uint32_t
+{
+  return static_cast<std::uint32_t>(StableHash(aTeam) %
+                                    std::max(1U, aPartitions));
+}
+
+auto FindJob(const JobTable& aTable,
+             const std::string& aTeam,
+             const std::string& aId) -> BatchJobPtr
+{
+  const auto found = aTable.mJobs.find({ aTeam, aId });
+  return found == aTable.mJobs.end() ? nullptr : found->second;
+}
+
+auto MakeJob(wire::JobT aSubmission) -> BatchJobPtr
+{
+  auto job = std::make_shared<BatchJob>();
+  job->mTeam = std::move(aSubmission.team);
+  job->mId = std::move(aSubmission.id);
+  job->mHost = std::move(aSubmission.host);
+  job->mPath = std::move(aSubmission.path);
+  job->mSubmittedAt =
+    WallTime(std::chrono::milliseconds(aSubmission.submitted_ms));
+  job->mEnded = aSubmission.ended;
+  for (auto& item : aSubmission.items) {
+    BatchItem entry;
+    entry.mSubmitted = std::move(*item);
+    job->mItems.push_back(std::move(entry));
+  }
+  return job;
+}
+
+auto QueuedTokens(const JobTable& aTable,
+                  const ServingDocument& aDocument,
+                  const std::string& aTeam,
+                  const std::string& aRoute) -> std::uint64_t
+{
+  std::uint64_t tokens = 0;
+  for (const auto& [key, job] : aTable.mJobs) {
+    if (key.first != aTeam || job->mEnded) {
+      continue;
+    }
+    const auto* route = FindRoute(aDocument, job->mHost, job->mPath);
+    if (route == nullptr || route->mName != aRoute) {
+      continue;
+    }
+    for (const auto& item : job->mItems) {
+      tokens += item.mFinished ? 0 : item.mSubmitted.tokens;
+    }
+  }
+  return tokens;
+}
+
+auto TotalTokens(const BatchJob& aJob) -> std::uint64_t
+{
+  std::uint64_t tokens = 0;
+  for (const auto& item : aJob.mItems) {
+    tokens += item.mSubmitted.tokens;
+  }
+  return tokens;
+}
+
+auto IsOver(const BatchJob& aJob) -> bool
+{
+  return aJob.mEnded || aJob.mResults.size() == aJob.mItems.size();
+}
+
+auto PageOf(const BatchJob& aJob, std::uint32_t aAfter, std::size_t aMaxBytes)
+  -> wire::ResultPageT
+{
+  wire::ResultPageT page;
+  page.total = static_cast<std::uint32_t>(aJob.mItems.size());
+  page.next = aAfter;
+  std::size_t bytes = 0;
+  for (std::size_t i = aAfter; i < aJob.mResults.size(); ++i) {
+    const auto& result = aJob.mResults[i];
+    bytes += result.mOutput.size();
+    if (bytes > aMaxBytes && !page.results.empty()) {
+      break;
+    }
+    auto entry = std::make_unique<wire::ItemResultT>();
+    entry->id = aJob.mItems[result.mItem].mSubmitted.id;
+    entry->completed = result.mCompleted;
+    entry->output = result.mOutput;
+    page.results.push_back(std::move(entry));
+    ++page.next;
+  }
+  return page;
+}
+
+auto RunnableItems(const JobTable& aTable,
+                   const ServingDocument& aDocument,
+                   const std::string& aService,
+                   std::size_t aMost,
+                   TimePoint aNow) -> std::vector<RunnableItem>
+{
+  std::vector<RunnableItem> items;
+  for (const auto& [key, job] : aTable.mJobs) {
+    if (!job->mDurable || job->mEnded) {
+      continue;
+    }
+    for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
+      const auto& item = job->mItems[i];
+      if (item.mRunning || item.mFinished || aNow < item.mNotBefore) {
+        continue;
+      }
+      const auto* route =
+        FindRoute(aDocument, job->mHost, item.mSubmitted.path);
+      if (route != nullptr && Allows(*route, aService)) {
+        items.push_back({ job, i, job->mSubmittedAt + route->mDue });
+      }
+    }
+  }
+  const auto most = std::min(aMost, items.size());
+  std::partial_sort(items.begin(),
+                    items.begin() + static_cast<std::ptrdiff_t>(most),
+                    items.end(),
+                    [](const RunnableItem& aLeft, const RunnableItem& aRight) {
+                      return aLeft.mDue < aRight.mDue;
+                    });
+  items.resize(most);
+  return items;
+}
+
+auto AbandonedItems(const JobTable& aTable,
+                    const ServingDocument& aDocument,
+                    WallTime aWallNow) -> std::vector<RunnableItem>
+{
+  std::vector<RunnableItem> items;
+  for (const auto& [key, job] : aTable.mJobs) {
+    if (!job->mDurable || job->mEnded) {
+      continue;
+    }
+    for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
+      const auto& item = job->mItems[i];
+      if (item.mFinished) {
+        continue;
+      }
+      const auto* route =
+        FindRoute(aDocument, job->mHost, item.mSubmitted.path);
+      if (route == nullptr ||
+          (route->mAbandonAfter.count() > 0 &&
+           aWallNow > job->mSubmittedAt + route->mAbandonAfter)) {
+        items.push_back({ job, i, aWallNow });
+      }
+    }
+  }
+  return items;
+}
+
+auto JobRecord(const BatchJob& aJob, std::size_t aMaxRecord) -> KeyedRecord
+{
+  wire::JobT record;
+  record.team = aJob.mTeam;
+  record.id = aJob.mId;
+  record.host = aJob.mHost;
+  record.path = aJob.mPath;
+  record.submitted_ms = aJob.mSubmittedAt.time_since_epoch().count();
+  record.ended = aJob.mEnded;
+  for (const auto& item : aJob.mItems) {
+    auto entry = std::make_unique<wire::JobItemT>();
+    entry->id = item.mSubmitted.id;
+    entry->path = item.mSubmitted.path;
+    for (const auto& header : item.mSubmitted.headers) {
+      entry->headers.push_back(std::make_unique<wire::HeaderFieldT>(*header));
+    }
+    entry->tokens = item.mSubmitted.tokens;
+    entry->body_pieces =
+      std::max(item.mSubmitted.body_pieces,
+               Pieces(item.mSubmitted.body.size(),
+                      aMaxRecord - kRecordOverhead));
+    record.items.push_back(std::move(entry));
+  }
+  return { absl::StrCat("j/", JobKeyText(aJob)),
+           PackTable<wire::Job>(record),
+           0 };
+}
+
+auto JobRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+  -> std::vector<KeyedRecord>
+{
+  const auto piece = aMaxRecord - kRecordOverhead;
+  const auto key = JobKeyText(aJob);
+  std::vector<KeyedRecord> records;
+  for (std::size_t i = 0; i < aJob.mItems.size(); ++i) {
+    const auto& body = aJob.mItems[i].mSubmitted.body;
+    for (std::size_t at = 0; at < body.size(); at += piece) {
+      const auto size = std::min(piece, body.size() - at);
+      const auto begin = body.begin() + static_cast<std::ptrdiff_t>(at);
+      records.push_back(
+        { BodyKey(key, i, at / piece),
+          std::string(begin, begin + static_cast<std::ptrdiff_t>(size)),
+          0 });
+    }
+  }
+  records.push_back(JobRecord(aJob, aMaxRecord));
+  return records;
+}
+
+auto ResultRecords(const BatchJob& aJob,
+                   std::uint32_t aPosition,
+                   const BatchResult& aResult,
+                   std::size_t aMaxRecord) -> std::vector<KeyedRecord>
+{
+  const auto piece = aMaxRecord - kRecordOverhead;
+  const auto key = JobKeyText(aJob);
+  wire::ResultRecordT record;
+  record.item = aResult.mItem;
+  record.completed = aResult.mCompleted;
+  const auto& output = aResult.mOutput;
+  record.output.assign(
+    output.begin(),
+    output.begin() +
+      static_cast<std::ptrdiff_t>(std::min(piece, output.size())));
+  record.output_pieces =
+    output.size() > piece ? Pieces(output.size() - piece, piece) : 0;
+  std::vector<KeyedRecord> records;
+  for (std::uint32_t i = 1; i <= record.output_pieces; ++i) {
+    records.push_back(
+      { ResultKey(key, aPosition, i), output.substr(i * piece, piece), 0 });
+  }
+  records.push_back({ ResultKey(key, aPosition, 0),
+                      PackTable<wire::ResultRecord>(record),
+                      0 });
+  const auto& item = aJob.mItems[aResult.mItem].mSubmitted;
+  const auto bodies =
+    std::max(item.body_pieces, Pieces(item.body.size(), piece));
+  for (std::uint32_t i = 0; i < bodies; ++i) {
+    records.push_back({ BodyKey(key, aResult.mItem, i), "", 0 });
+  }
+  return records;
+}
+
+auto DropRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+  -> std::vector<KeyedRecord>
+{
+  std::vector<KeyedRecord> records{ JobRecord(aJob, aMaxRecord) };
+  for (std::uint32_t i = 0; i < aJob.mResults.size(); ++i) {
+    for (auto& record :
+         ResultRecords(aJob, i, aJob.mResults[i], aMaxRecord)) {
+      records.push_back(std::move(record));
+    }
+  }
+  for (auto& record : records) {
+    record.mValue.clear();
+  }
+  return records;
+}
+
+auto LoadJobs(const std::vector<KeyedRecord>& aRecords) -> JobTable
+{
+  Records records;
+  for (const auto& record : aRecords) {
+    if (!record.mValue.empty()) {
+      records[record.mKey] = &record.mValue;
+    }
+  }
+  JobTable table;
+  for (const auto& [key, value] : records) {
+    if (!key.starts_with("j/")) {
+      continue;
+    }
+    const auto* record = VerifiedTable<wire::Job>(*value);
+    if (record == nullptr) {
+      LogEvent(Severity::Error, "job_record_unreadable", { { "key", key } });
+      continue;
+    }
+    wire::JobT unpacked;
+    record->UnPackTo(&unpacked);
+    auto job = MakeJob(std::move(unpacked));
+    job->mDurable = true;
+    LoadBodies(*job, records);
+    LoadResults(*job, records);
+    table.mJobs[{ job->mTeam, job->mId }] = job;
+  }
+  return table;
+}
+
+} // namespace mangovalve
--- a/mangovalve/platform/host_list.cc
+++ b/mangovalve/log_service/host_list.cc
@@ -1,10 +1,10 @@
 // The platform's list of live and leaving hosts.
-#include "mangovalve/platform/host_list.h"
+#include "mangovalve/log_service/host_list.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include "mangovalve/platform/http_client.h"
+#include "mangovalve/log_service/http_client.h"
 
 namespace mangovalve {
 namespace {
--- a/mangovalve/platform/http_client.cc
+++ b/mangovalve/log_service/http_client.cc
@@ -1,5 +1,5 @@
 // HTTP clients shared by the platform's ports.
-#include "mangovalve/platform/http_client.h"
+#include "mangovalve/log_service/http_client.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/mangovalve/platform/http_client.h
+++ b/mangovalve/log_service/http_client.h
@@ -11,7 +11,7 @@
 
 #include "mangovalve/base/result.h"
 #include "mangovalve/base/time.h"
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 
 namespace httplib {
 class Client;
--- a/mangovalve/platform/http_log.cc
+++ b/mangovalve/log_service/http_log.cc
@@ -1,5 +1,5 @@
 // LogPort over HTTP, by the platform's published protocol.
-#include "mangovalve/platform/http_log.h"
+#include "mangovalve/log_service/http_log.h"
 
 #include <algorithm>
 
@@ -7,7 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include "mangovalve/platform/http_client.h"
+#include "mangovalve/log_service/http_client.h"
 
 namespace mangovalve {
 namespace {
--- a/mangovalve/platform/http_log.h
+++ b/mangovalve/log_service/http_log.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 
 namespace mangovalve {
 
--- a/mangovalve/platform/http_log_test.cc
+++ b/mangovalve/log_service/http_log_test.cc
@@ -1,5 +1,5 @@
 // Tests of the log's HTTP client against a server of this process.
-#include "mangovalve/platform/http_log.h"
+#include "mangovalve/log_service/http_log.h"
 
 #include <array>
 
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #include "mangovalve/base/thread.h"
-#include "mangovalve/platform/host_list.h"
+#include "mangovalve/log_service/host_list.h"
 
 namespace mangovalve {
 namespace {
--- /dev/null
+++ b/mangovalve/loop/http_client.cc
@@ -0,0 +1,267 @@
+// HTTP/1.1 client on the event loop.
+#include "mangovalve/loop/http_client.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mangovalve {
+namespace {
+
+// Unacknowledged bytes older than this end the connection. A partition sends
+// no reset, so without it the system would retransmit for minutes.
+constexpr int kUnacknowledgedMs = 3000;
+
+// How long an idle connection is kept when the other side names no timeout.
+constexpr auto kDefaultIdle = std::chrono::seconds(4);
+
+// Closed this long before the timeout that the other side names, so that a
+// request does not cross its close.
+constexpr auto kIdleMargin = std::chrono::milliseconds(700);
+
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
+auto SetOptions(Tcp::socket& aSocket) -> void
+{
+  ErrorCode ignored; // a missing option costs latency, not correctness
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  const int timeout = kUnacknowledgedMs;
+  static_cast<void>(setsockopt(aSocket.native_handle(),
+                               IPPROTO_TCP,
+                               TCP_USER_TIMEOUT,
+                               &timeout,
+                               sizeof(timeout)));
+}
+
+// Whether the other side has neither closed the connection nor sent bytes that
+// belong to no request.
+auto IsQuiet(Tcp::socket& aSocket) -> bool
+{
+  char byte = 0;
+  const auto count =
+    recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// The idle timeout of a Keep-Alive header "timeout=N, max=M", in seconds.
+auto KeepAliveTimeout(std::string_view aValue) -> std::optional<int>
+{
+  for (auto part : absl::StrSplit(absl::string_view(aValue.data(), aValue.size()),
+                                  ',')) {
+    part = absl::StripAsciiWhitespace(part);
+    int seconds = 0;
+    if (absl::ConsumePrefix(&part, "timeout=") &&
+        absl::SimpleAtoi(part, &seconds)) {
+      return seconds;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+auto ParseAddress(const std::string& aAddress)
+  -> Result<Tcp::endpoint, ErrorCode>
+{
+  const auto colon = aAddress.rfind(':');
+  std::uint32_t port = 0;
+  constexpr std::uint32_t kMaxPort = 65535;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(aAddress.substr(colon + 1), &port) || port == 0 ||
+      port > kMaxPort) {
+    return Err(ErrorCode(asio::error::invalid_argument));
+  }
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(aAddress.substr(0, colon), error);
+  if (error) {
+    return Err(error);
+  }
+  return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+auto ConnectionPool::TakeIdle(const std::string& aAddress, TimePoint aIdleAfter)
+  -> ClientConnectionPtr
+{
+  const auto found = mIdle.find(aAddress);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  const auto now = Clock::now();
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    if (idle.back()->mIdleSince < aIdleAfter) {
+      return nullptr;
+    }
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (now < connection->mUsableUntil &&
+        IsQuiet(connection->mStream.socket())) {
+      connection->mReused = true;
+      return connection;
+    }
+  }
+  mIdle.erase(found);
+  return nullptr;
+}
+
+auto ConnectionPool::Acquire(std::string aAddress,
+                             TimePoint aIdleAfter,
+                             TimePoint aDeadline)
+  -> Task<Result<ClientConnectionPtr, ErrorCode>>
+{
+  if (auto idle = TakeIdle(aAddress, aIdleAfter)) {
+    co_return idle;
+  }
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    co_return Err(endpoint.error());
+  }
+  auto connection = std::make_unique<ClientConnection>(mLoop);
+  connection->mAddress = aAddress;
+  connection->mStream.expires_at(aDeadline);
+  ErrorCode error;
+  co_await connection->mStream.async_connect(*endpoint, Into(error));
+  if (error) {
+    co_return Err(error);
+  }
+  SetOptions(connection->mStream.socket());
+  co_return connection;
+}
+
+auto ConnectionPool::Release(ClientConnectionPtr aConnection,
+                             TimePoint aUsableUntil) -> void
+{
+  const auto now = Clock::now();
+  if (aUsableUntil <= now) {
+    return;
+  }
+  aConnection->mStream.expires_never();
+  aConnection->mIdleSince = now;
+  aConnection->mUsableUntil = aUsableUntil;
+  aConnection->mBuffer.shrink_to_fit();
+  mIdle[aConnection->mAddress].push_back(std::move(aConnection));
+}
+
+auto ConnectionPool::Forget(const std::string& aAddress) -> void
+{
+  mIdle.erase(aAddress);
+}
+
+auto ConnectionPool::CloseExpired(TimePoint aNow) -> void
+{
+  for (auto it = mIdle.begin(); it != mIdle.end();) {
+    std::erase_if(it->second, [&](const ClientConnectionPtr& aIdle) {
+      return aIdle->mUsableUntil <= aNow;
+    });
+    if (it->second.empty()) {
+      mIdle.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+auto SendRequest(ClientConnection& aConnection,
+                 const Request& aRequest,
+                 TimePoint aDeadline) -> Task<ErrorCode>
+{
+  aConnection.mStream.expires_at(aDeadline);
+  http::request_serializer<http::string_body> serializer(aRequest);
+  ErrorCode error;
+  co_await http::async_write(aConnection.mStream, serializer, Into(error));
+  co_return error;
+}
+
+auto ReadHead(ClientConnection& aConnection,
+              ResponseParser& aParser,
+              TimePoint aDeadline) -> Task<ErrorCode>
+{
+  aParser.header_limit(kMaxHeaderBytes);
+  aParser.body_limit(kMaxAnswerBytes);
+  aConnection.mStream.expires_at(aDeadline);
+  ErrorCode error;
+  co_await http::async_read_header(
+    aConnection.mStream, aConnection.mBuffer, aParser, Into(error));
+  co_return error;
+}
+
+auto ReadSomeBody(ClientConnection& aConnection,
+                  ResponseParser& aParser,
+                  TimePoint aDeadline) -> Task<Result<std::string, ErrorCode>>
+{
+  aConnection.mStream.expires_at(aDeadline);
+  ErrorCode error;
+  if (!aParser.is_done()) {
+    co_await http::async_read_some(
+      aConnection.mStream, aConnection.mBuffer, aParser, Into(error));
+  }
+  if (error) {
+    co_return Err(error);
+  }
+  co_return std::exchange(aParser.get().body(), {});
+}
+
+auto ReadBody(ClientConnection& aConnection,
+              ResponseParser& aParser,
+              TimePoint aDeadline) -> Task<ErrorCode>
+{
+  aConnection.mStream.expires_at(aDeadline);
+  ErrorCode error;
+  if (!aParser.is_done()) {
+    co_await http::async_read(
+      aConnection.mStream, aConnection.mBuffer, aParser, Into(error));
+  }
+  co_return error;
+}
+
+auto ReusableUntil(const ClientConnection& aConnection,
+                   const ResponseParser& aParser,
+                   TimePoint aNow) -> TimePoint
+{
+  if (!aParser.is_done() || !aParser.keep_alive() ||
+      aConnection.mBuffer.size() != 0) {
+    return aNow;
+  }
+  const auto value = aParser.get()[http::field::keep_alive];
+  const auto seconds =
+    KeepAliveTimeout(std::string_view(value.data(), value.size()));
+  return aNow + (seconds ? std::chrono::seconds(*seconds) - kIdleMargin
+                         : std::chrono::milliseconds(kDefaultIdle));
+}
+
+auto CallOnce(ConnectionPool& aPool,
+              std::string aAddress,
+              Request aRequest,
+              TimePoint aDeadline) -> Task<Result<Response, CallError>>
+{
+  auto connection =
+    co_await aPool.Acquire(aAddress, TimePoint::min(), aDeadline);
+  if (!connection) {
+    co_return Err(CallError::NotSent);
+  }
+  aRequest.prepare_payload();
+  ResponseParser parser;
+  auto error = co_await SendRequest(**connection, aRequest, aDeadline);
+  if (!error) {
+    error = co_await ReadHead(**connection, parser, aDeadline);
+  }
+  if (!error) {
+    error = co_await ReadBody(**connection, parser, aDeadline);
+  }
+  if (error) {
+    // Others of the same age have most likely gone silent or closed with it.
+    aPool.Forget(aAddress);
+    co_return Err(CallError::NoAnswer);
+  }
+  const auto usableUntil = ReusableUntil(**connection, parser, Clock::now());
+  aPool.Release(std::move(*connection), usableUntil);
+  co_return parser.release();
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/loop/http_server.cc
@@ -0,0 +1,290 @@
+// HTTP/1.1 server on the event loop.
+#include "mangovalve/loop/http_server.h"
+
+#include <sstream>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <sys/socket.h>
+
+#include "mangovalve/loop/http_client.h"
+
+namespace mangovalve {
+namespace {
+
+// A caller that does not read its answer for this long is given up.
+constexpr auto kWriteTimeout = std::chrono::seconds(5);
+
+// Pause after a failed accept, mostly for want of descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+constexpr int kBacklog = 512;
+constexpr std::size_t kReadBytes = 4096;
+
+auto StatusOf(const ErrorCode& aError) -> http::status
+{
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return http::status::request_header_fields_too_large;
+  }
+  if (aError == http::error::body_limit) {
+    return http::status::payload_too_large;
+  }
+  return http::status::bad_request;
+}
+
+// Whether the error lies in what the caller sent, so that an answer is due.
+auto IsMalformed(const ErrorCode& aError) -> bool
+{
+  return aError.category() ==
+           make_error_code(http::error::bad_method).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+auto HeadText(const ResponseHead& aHead) -> std::string
+{
+  std::ostringstream text;
+  text << aHead;
+  return text.str();
+}
+
+} // namespace
+
+Caller::Caller(Tcp::socket aSocket)
+  : mStream(std::move(aSocket))
+{
+  ErrorCode ignored; // costs latency, not correctness
+  mStream.socket().set_option(Tcp::no_delay(true), ignored);
+}
+
+auto Caller::Write(std::string aBytes) -> Task<bool>
+{
+  mStream.expires_at(Clock::now() + kWriteTimeout);
+  ErrorCode error;
+  co_await asio::async_write(mStream, asio::buffer(aBytes), Into(error));
+  mGone = mGone || error;
+  co_return !error;
+}
+
+auto Caller::Reply(Response aResponse) -> Task<bool>
+{
+  mAnswered = true;
+  aResponse.version(11);
+  aResponse.keep_alive(!mClosing);
+  aResponse.prepare_payload();
+  mStream.expires_at(Clock::now() + kWriteTimeout);
+  http::response_serializer<http::string_body> serializer(aResponse);
+  ErrorCode error;
+  co_await http::async_write(mStream, serializer, Into(error));
+  mGone = mGone || error;
+  co_return !error;
+}
+
+auto Caller::BeginChunks(ResponseHead aHead, std::string aFirst) -> Task<bool>
+{
+  mAnswered = true;
+  mChunked = true;
+  aHead.version(11);
+  aHead.erase(http::field::content_length);
+  aHead.set(http::field::transfer_encoding, "chunked");
+  if (mClosing) {
+    aHead.set(http::field::connection, "close");
+  }
+  auto bytes = HeadText(aHead);
+  if (!aFirst.empty()) {
+    absl::StrAppendFormat(&bytes, "%x\r\n%s\r\n", aFirst.size(), aFirst);
+  }
+  co_return co_await Write(std::move(bytes));
+}
+
+auto Caller::SendChunk(std::string aBytes) -> Task<bool>
+{
+  if (aBytes.empty()) {
+    co_return !mGone;
+  }
+  co_return co_await Write(
+    absl::StrFormat("%x\r\n%s\r\n", aBytes.size(), aBytes));
+}
+
+auto Caller::EndChunks() -> Task<bool>
+{
+  mChunked = false;
+  co_return co_await Write("0\r\n\r\n");
+}
+
+auto Caller::Abort() -> void
+{
+  mAnswered = true;
+  mClosing = true;
+  ErrorCode ignored; // the socket is closed either way
+  mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  mStream.close();
+}
+
+HttpServer::HttpServer(asio::io_context& aLoop,
+                       Handler aHandler,
+                       std::function<auto()->CallerLimits> aLimits)
+  : mLoop(aLoop)
+  , mHandler(std::move(aHandler))
+  , mLimits(std::move(aLimits))
+  , mAcceptor(aLoop)
+{
+}
+
+auto HttpServer::Listen(const std::string& aAddress) -> ErrorCode
+{
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  ErrorCode error;
+  mAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    mAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    mAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    mAcceptor.listen(kBacklog, error);
+  }
+  if (!error) {
+    Spawn(mLoop, Accept());
+  }
+  return error;
+}
+
+auto HttpServer::Accept() -> Task<>
+{
+  while (mAcceptor.is_open()) {
+    ErrorCode error;
+    auto socket = co_await mAcceptor.async_accept(Into(error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      co_await SleepUntil(Clock::now() + kAcceptPause);
+      continue;
+    }
+    Spawn(mLoop, Serve(std::make_shared<Caller>(std::move(socket))));
+  }
+}
+
+auto HttpServer::Serve(CallerPtr aCaller) -> Task<>
+{
+  mCallers.insert(aCaller);
+  aCaller->mClosing = mClosing;
+  while (co_await ServeOne(aCaller)) {
+  }
+  mCallers.erase(aCaller);
+  // A close with unread bytes would reset the connection and might take the
+  // answer with it, so the sending side is closed first.
+  ErrorCode ignored; // the other side may have closed it already
+  aCaller->mStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  aCaller->mStream.close();
+}
+
+auto HttpServer::ServeOne(CallerPtr aCaller) -> Task<bool>
+{
+  const auto limits = mLimits();
+  auto& caller = *aCaller;
+  auto& stream = caller.mStream;
+  ErrorCode error;
+  caller.mIdle = caller.mBuffer.size() == 0;
+  if (caller.mIdle) {
+    stream.expires_at(Clock::now() + limits.mIdleTimeout);
+    const auto count = co_await stream.async_read_some(
+      caller.mBuffer.prepare(kReadBytes), Into(error));
+    if (error) {
+      co_return false;
+    }
+    caller.mBuffer.commit(count);
+    caller.mIdle = false;
+  }
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.mMaxHeaderBytes);
+  parser.body_limit(limits.mMaxBodyBytes);
+  stream.expires_at(Clock::now() + limits.mHeaderTimeout);
+  co_await http::async_read_header(
+    stream, caller.mBuffer, parser, Into(error));
+  if (!error && !parser.is_done()) {
+    if (parser.get()[http::field::expect] == "100-continue") {
+      co_await caller.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    stream.expires_at(Clock::now() + limits.mIdleTimeout);
+    co_await http::async_read(stream, caller.mBuffer, parser, Into(error));
+  }
+  if (error) {
+    if (IsMalformed(error)) {
+      caller.mClosing = true;
+      co_await caller.Reply(Response(StatusOf(error), 11));
+    }
+    co_return false;
+  }
+  caller.mArrivedAt = Clock::now();
+  caller.mAnswered = false;
+  caller.mClosing = caller.mClosing || mClosing || !parser.keep_alive();
+  stream.expires_never();
+  ++mActive;
+  Spawn(mLoop, Watch(aCaller));
+  auto request = std::make_shared<Request>(parser.release());
+  co_await mHandler(aCaller, std::move(request));
+  --mActive;
+  caller.mOnGone = nullptr;
+  if (!caller.mAnswered || caller.mChunked) {
+    caller.Abort();
+  }
+  stream.socket().cancel(error); // ends Watch
+  if (caller.mBuffer.size() == 0) {
+    caller.mBuffer.shrink_to_fit();
+  }
+  co_return !caller.mGone && !caller.mClosing;
+}
+
+auto HttpServer::Watch(CallerPtr aCaller) -> Task<>
+{
+  auto& socket = aCaller->mStream.socket();
+  ErrorCode error;
+  co_await socket.async_wait(Tcp::socket::wait_read, Into(error));
+  if (error) {
+    co_return;
+  }
+  char byte = 0;
+  const auto count =
+    recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto closed =
+    count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  // Bytes are the next request, which the caller sends ahead.
+  if (closed && !aCaller->mGone) {
+    aCaller->mGone = true;
+    if (const auto onGone = aCaller->mOnGone) {
+      onGone();
+    }
+  }
+}
+
+auto HttpServer::CloseAfterAnswers() -> void
+{
+  mClosing = true;
+  for (const auto& caller : mCallers) {
+    caller->mClosing = true;
+  }
+}
+
+auto HttpServer::CloseIdle() -> void
+{
+  for (const auto& caller : mCallers) {
+    if (caller->mIdle) {
+      caller->mStream.cancel();
+    }
+  }
+}
+
+auto HttpServer::StopAccepting() -> void
+{
+  ErrorCode ignored; // it may be closed already
+  mAcceptor.close(ignored);
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/online/event_stream.cc
@@ -0,0 +1,101 @@
+// Splitting of a server-sent event stream.
+#include "mangovalve/online/event_stream.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
+namespace mangovalve {
+namespace {
+
+auto Lines(const StreamEvent& aEvent) -> std::vector<absl::string_view>
+{
+  return absl::StrSplit(
+    absl::string_view(aEvent.mText.data(), aEvent.mText.size()), '\n');
+}
+
+// The value of "NAME: value" or "NAME:value"; nothing for other lines.
+auto FieldValue(absl::string_view aLine, absl::string_view aName)
+  -> std::optional<absl::string_view>
+{
+  aLine = absl::StripSuffix(aLine, "\r");
+  if (!absl::ConsumePrefix(&aLine, aName) ||
+      !absl::ConsumePrefix(&aLine, ":")) {
+    return std::nullopt;
+  }
+  return absl::StripPrefix(aLine, " ");
+}
+
+auto IdOf(const StreamEvent& aEvent) -> std::optional<std::uint64_t>
+{
+  std::optional<std::uint64_t> id;
+  for (const auto line : Lines(aEvent)) {
+    std::uint64_t value = 0;
+    const auto text = FieldValue(line, "id");
+    if (text && absl::SimpleAtoi(*text, &value)) {
+      id = value;
+    }
+  }
+  return id;
+}
+
+// Length of the blank line that ends the event at aAt; 0 if there is none.
+auto EndLength(std::string_view aText, std::size_t aAt) -> std::size_t
+{
+  if (aText.substr(aAt, 2) == "\n\n") {
+    return 2;
+  }
+  return aText.substr(aAt, 3) == "\n\r\n" ? 3 : 0;
+}
+
+} // namespace
+
+auto SplitEvents(EventSplitter& aSplitter, std::string_view aBytes)
+  -> std::vector<StreamEvent>
+{
+  // The blank line may have begun in the bytes before.
+  constexpr std::size_t kLongestEnd = 3;
+  auto& text = aSplitter.mPartial;
+  auto at = text.size() < kLongestEnd ? 0 : text.size() - kLongestEnd;
+  text.append(aBytes);
+  std::vector<StreamEvent> events;
+  std::size_t begin = 0;
+  while ((at = text.find('\n', at)) != std::string::npos) {
+    const auto length = EndLength(text, at);
+    if (length == 0) {
+      ++at;
+      continue;
+    }
+    at += length;
+    StreamEvent event{ text.substr(begin, at - begin), std::nullopt };
+    event.mId = IdOf(event);
+    events.push_back(std::move(event));
+    begin = at;
+  }
+  text.erase(0, begin);
+  return events;
+}
+
+auto EventData(const StreamEvent& aEvent) -> std::string
+{
+  std::string data;
+  auto first = true;
+  for (const auto line : Lines(aEvent)) {
+    if (const auto value = FieldValue(line, "data")) {
+      data.append(first ? "" : "\n").append(value->data(), value->size());
+      first = false;
+    }
+  }
+  return data;
+}
+
+auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
+  -> EventOrder
+{
+  if (!aEvent.mId || !aLast || *aEvent.mId == *aLast + 1) {
+    return EventOrder::Next;
+  }
+  return *aEvent.mId <= *aLast ? EventOrder::Repeated : EventOrder::Gap;
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/online/relay.cc
@@ -0,0 +1,698 @@
+// The online path of a serving daemon.
+#include "mangovalve/online/relay.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/base/id.h"
+#include "mangovalve/online/event_stream.h"
+#include "mangovalve/telemetry/counters.h"
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A caller may not ask for less than this; below it the answer could not even
+// cross the network.
+constexpr auto kMinRemaining = milliseconds(1);
+
+// Pause named to a caller when nothing better is known.
+constexpr auto kDefaultRetryAfter = milliseconds(400);
+
+// Answers to earlier requests that are passed over on one connection.
+constexpr int kMaxStrayAnswers = 2;
+
+constexpr double kDurationDecay = 0.9; // weight of the past per request
+
+auto Millis(Duration aDuration) -> std::string
+{
+  return absl::StrCat(
+    std::chrono::duration_cast<milliseconds>(aDuration).count());
+}
+
+auto Scaled(Duration aDuration, double aFactor) -> Duration
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aDuration) * aFactor);
+}
+
+// One request of a caller on its way.
+struct Exchange
+{
+  CallerPtr mCaller;
+  std::shared_ptr<Request> mRequest;
+  CallFacts mFacts;
+  std::shared_ptr<const ServingDocument> mDocument; // keeps mRoute valid
+  const ServingRoute* mRoute = nullptr;
+  std::string mTeam;
+  std::string mService;
+  int mPriority = 0;
+  TimePoint mDeadline;
+  std::uint32_t mAttempts = 0; // endpoints that may have run it
+  std::uint32_t mRefusals = 0; // endpoints that did not run it
+  std::vector<std::string> mTried; // ids of endpoints that failed or refused
+  bool mBegun = false;             // the caller has the head of the answer
+  std::optional<std::uint64_t> mLastEvent; // that the caller has
+  std::string mEndpoint;                   // the last one, for the log
+};
+
+enum class Step
+{
+  Done,     // the caller has all that it will get
+  NotRun,   // this endpoint did not run it
+  Failed,   // this endpoint may have run it
+  Hopeless, // no further attempt is allowed or useful
+};
+
+struct Slot
+{
+  EndpointPtr mEndpoint;
+  Refusal mRefusal = Refusal::Overloaded; // without an endpoint
+  std::optional<milliseconds> mRetryAfter;
+};
+
+// Takes a request out of the line, however its wait ends.
+class LinePlace
+{
+public:
+  LinePlace(ServicePool& aPool, Waiter aWaiter)
+    : mPool(aPool)
+    , mWaiter(aWaiter)
+  {
+    mPool.mLine.insert(mWaiter);
+  }
+  ~LinePlace()
+  {
+    mPool.mLine.erase(mWaiter);
+    WakeFirst(mPool);
+  }
+  LinePlace(const LinePlace&) = delete;
+  auto operator=(const LinePlace&) -> LinePlace& = delete;
+
+  auto IsFirst() const -> bool
+  {
+    return mPool.mLine.begin()->mNumber == mWaiter.mNumber;
+  }
+
+private:
+  ServicePool& mPool;
+  Waiter mWaiter;
+};
+
+// Runs one exchange; holds what its steps share.
+class Runner
+{
+public:
+  Runner(ServingState& aState,
+         const Protocol& aProtocol,
+         const RelayPolicy& aPolicy,
+         Exchange& aExchange)
+    : mState(aState)
+    , mProtocol(aProtocol)
+    , mPolicy(aPolicy)
+    , mExchange(aExchange)
+  {
+  }
+
+  auto Run() -> Task<>;
+
+private:
+  auto TakeSlot() -> Task<Slot>;
+  auto TryPlace(ServicePool& aPool) -> EndpointPtr;
+  auto WaitInLine(ServicePool& aPool, TimePoint aGiveUpAt) -> Task<EndpointPtr>;
+  auto GiveUpAt(TimePoint aNow) const -> TimePoint;
+  auto Attempt(EndpointPtr aEndpoint) -> Task<Step>;
+  auto Send(Endpoint& aEndpoint, ClientConnection& aConnection) -> Task<Step>;
+  auto ReadAnswerHead(Endpoint& aEndpoint,
+                      ClientConnection& aConnection,
+                      std::unique_ptr<ResponseParser>& aParser) -> Task<Step>;
+  auto Deliver(Endpoint& aEndpoint,
+               ClientConnection& aConnection,
+               ResponseParser& aParser,
+               const AnswerFacts& aFacts) -> Task<Step>;
+  auto DeliverWhole(Endpoint& aEndpoint,
+                    ClientConnection& aConnection,
+                    ResponseParser& aParser) -> Task<Step>;
+  auto DeliverStream(Endpoint& aEndpoint,
+                     ClientConnection& aConnection,
+                     ResponseParser& aParser) -> Task<Step>;
+  auto ForwardEvents(const std::vector<StreamEvent>& aEvents,
+                     const ResponseParser& aParser) -> Task<Step>;
+  auto SendToCaller(std::string aBytes, const ResponseParser& aParser)
+    -> Task<bool>;
+  auto MayTryAgain() const -> bool;
+  auto MayTryElsewhereAfterRun() const -> bool;
+  auto FirstByteDeadline() const -> TimePoint;
+  auto GapDeadline() const -> TimePoint;
+  auto Finish(Refusal aRefusal, std::optional<milliseconds> aRetryAfter)
+    -> Task<>;
+  auto Log(std::string_view aOutcome) const -> void;
+  auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
+
+  ServingState& mState;
+  const Protocol& mProtocol;
+  const RelayPolicy& mPolicy;
+  Exchange& mExchange;
+};
+
+auto Runner::Log(std::string_view aOutcome) const -> void
+{
+  LogEvent(Severity::Info,
+           "request",
+           { { "id", mExchange.mFacts.mId },
+             { "route", mExchange.mRoute->mName },
+             { "document", absl::StrCat(mExchange.mDocument->mVersion) },
+             { "endpoint", mExchange.mEndpoint },
+             { "attempts", absl::StrCat(mExchange.mAttempts) },
+             { "refusals", absl::StrCat(mExchange.mRefusals) },
+             { "ms", Millis(Clock::now() - mExchange.mCaller->mArrivedAt) },
+             { "outcome", std::string(aOutcome) } });
+}
+
+auto Runner::NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void
+{
+  LogEvent(Severity::Warn,
+           "attempt_failed",
+           { { "id", mExchange.mFacts.mId },
+             { "endpoint", aEndpoint.mRegistration.mId },
+             { "reason", std::string(aReason) },
+             { "ms", Millis(Clock::now() - mExchange.mCaller->mArrivedAt) } });
+  NoteExchange(mState, aEndpoint, ExchangeResult::Failed);
+}
+
+auto Runner::MayTryElsewhereAfterRun() const -> bool
+{
+  return MayRepeat(*mExchange.mRoute) &&
+         mExchange.mAttempts < mExchange.mRoute->mMaxAttempts;
+}
+
+auto Runner::MayTryAgain() const -> bool
+{
+  return !mExchange.mCaller->Gone() && Clock::now() < mExchange.mDeadline;
+}
+
+auto Runner::FirstByteDeadline() const -> TimePoint
+{
+  if (!MayTryElsewhereAfterRun()) {
+    return mExchange.mDeadline;
+  }
+  const auto silence =
+    std::max(mPolicy.mMinSilence,
+             Scaled(mExchange.mRoute->mObjective, mPolicy.mSilenceObjectives));
+  return std::min(mExchange.mDeadline, Clock::now() + silence);
+}
+
+auto Runner::GapDeadline() const -> TimePoint
+{
+  if (!MayTryElsewhereAfterRun()) {
+    return mExchange.mDeadline;
+  }
+  const auto gap =
+    std::max(mPolicy.mMinGap,
+             Scaled(mExchange.mRoute->mGapObjective, mPolicy.mGapObjectives));
+  return std::min(mExchange.mDeadline, Clock::now() + gap);
+}
+
+auto Runner::GiveUpAt(TimePoint aNow) const -> TimePoint
+{
+  const auto& route = *mExchange.mRoute;
+  const auto first = mExchange.mCaller->mArrivedAt +
+                     Scaled(route.mObjective, mPolicy.mWaitShare);
+  // A request that was already sent once has used its wait; it still gets a
+  // short one, since giving up now would waste what was done for it.
+  const auto later = aNow + Scaled(route.mObjective, mPolicy.mWaitShare / 2);
+  const auto sent = mExchange.mAttempts + mExchange.mRefusals > 0;
+  return std::min(mExchange.mDeadline, sent ? std::max(first, later) : first);
+}
+
+auto Runner::TryPlace(ServicePool& aPool) -> EndpointPtr
+{
+  const auto candidates = Candidates(mState, aPool, Clock::now());
+  std::vector<std::size_t> excluded;
+  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
+    const auto& id = aPool.mEndpoints[i]->mRegistration.mId;
+    if (std::find(mExchange.mTried.begin(), mExchange.mTried.end(), id) !=
+        mExchange.mTried.end()) {
+      excluded.push_back(i);
+    }
+  }
+  const auto place =
+    PlaceOnline(candidates, excluded, mState.mPlacement, mState.mRandom);
+  return place ? aPool.mEndpoints[*place] : nullptr;
+}
+
+auto Runner::WaitInLine(ServicePool& aPool, TimePoint aGiveUpAt)
+  -> Task<EndpointPtr>
+{
+  Wakeup wakeup(mState.mLoop);
+  const LinePlace place(
+    aPool, Waiter{ mExchange.mPriority, mState.mNextWaiter++, &wakeup });
+  mExchange.mCaller->mOnGone = [&wakeup] { wakeup.Give(); };
+  EndpointPtr endpoint;
+  while (!endpoint && Clock::now() < aGiveUpAt &&
+         !mExchange.mCaller->Gone()) {
+    co_await wakeup.WaitUntil(aGiveUpAt);
+    if (place.IsFirst()) {
+      endpoint = TryPlace(aPool);
+    }
+  }
+  mExchange.mCaller->mOnGone = nullptr;
+  co_return endpoint;
+}
+
+auto Runner::TakeSlot() -> Task<Slot>
+{
+  const auto found = mState.mPools.find(mExchange.mService);
+  if (found == mState.mPools.end() || found->second.mEndpoints.empty()) {
+    co_return Slot{ nullptr, Refusal::Overloaded, kDefaultRetryAfter };
+  }
+  auto& pool = found->second;
+  if (pool.mLine.empty()) {
+    if (auto endpoint = TryPlace(pool)) {
+      co_return Slot{ std::move(endpoint), {}, {} };
+    }
+  }
+  auto slots = 0.0;
+  const auto now = Clock::now();
+  for (const auto& candidate : Candidates(mState, pool, now)) {
+    slots += candidate.mUsable ? candidate.mSlots : 0;
+  }
+  const auto ahead = pool.mLine.size() +
+                     PeerWaiting(mState.mFleet, StableHash(mExchange.mService));
+  const auto wait = ExpectedWait(ahead, slots, pool.mMeanSeconds);
+  const auto giveUpAt = GiveUpAt(now);
+  const auto retryAfter = std::chrono::duration_cast<milliseconds>(
+    std::max<Duration>(wait, kDefaultRetryAfter));
+  if (now + wait > giveUpAt) {
+    co_return Slot{ nullptr, Refusal::Overloaded, retryAfter };
+  }
+  auto endpoint = co_await WaitInLine(pool, giveUpAt);
+  co_return Slot{ std::move(endpoint), Refusal::Overloaded, retryAfter };
+}
+
+auto Runner::Run() -> Task<>
+{
+  for (;;) {
+    auto slot = co_await TakeSlot();
+    if (mExchange.mCaller->Gone()) {
+      Log("caller_gone");
+      co_return;
+    }
+    if (!slot.mEndpoint) {
+      const auto ran = mExchange.mAttempts > 0;
+      co_await Finish(ran ? Refusal::EndpointFailed : slot.mRefusal,
+                      slot.mRetryAfter);
+      co_return;
+    }
+    mExchange.mEndpoint = slot.mEndpoint->mRegistration.mId;
+    const auto step = co_await Attempt(slot.mEndpoint);
+    if (step == Step::Done) {
+      Log(mExchange.mCaller->Gone() ? "caller_gone" : "answered");
+      co_return;
+    }
+    mExchange.mTried.push_back(mExchange.mEndpoint);
+    const auto again =
+      MayTryAgain() &&
+      ((step == Step::NotRun && mExchange.mRefusals < mPolicy.mMaxRefusals) ||
+       (step == Step::Failed && MayTryElsewhereAfterRun()));
+    if (!again) {
+      const auto notRun = mExchange.mAttempts == 0;
+      const auto late = Clock::now() >= mExchange.mDeadline;
+      co_await Finish(notRun  ? Refusal::Overloaded
+                      : late ? Refusal::TimedOut
+                             : Refusal::EndpointFailed,
+                      kDefaultRetryAfter);
+      co_return;
+    }
+  }
+}
+
+auto Runner::Finish(Refusal aRefusal, std::optional<milliseconds> aRetryAfter)
+  -> Task<>
+{
+  const auto notRun =
+    aRefusal == Refusal::Overloaded || aRefusal == Refusal::NotReady;
+  if (notRun && mExchange.mAttempts == 0) {
+    const auto rate = mState.mRates.find(mExchange.mTeam);
+    if (rate != mState.mRates.end()) {
+      Refund(rate->second);
+    }
+  }
+  Log(mExchange.mCaller->Gone() ? "caller_gone"
+      : notRun                  ? "refused_not_run"
+                                : "failed");
+  if (mExchange.mBegun) {
+    mExchange.mCaller->Abort();
+  } else if (!mExchange.mCaller->Gone()) {
+    co_await mExchange.mCaller->Reply(
+      mProtocol.mRefuse(aRefusal, mExchange.mFacts.mId, aRetryAfter));
+  }
+}
+
+auto Runner::Attempt(EndpointPtr aEndpoint) -> Task<Step>
+{
+  const EndpointUse use(mState, aEndpoint, Work::Online);
+  const auto now = Clock::now();
+  const auto idleAfter = MayTryElsewhereAfterRun() ? TimePoint::min()
+                                                   : now - mPolicy.mFreshIdle;
+  auto connection = co_await mState.mPool.Acquire(
+    aEndpoint->mRegistration.mAddress,
+    idleAfter,
+    std::min(mExchange.mDeadline, now + mPolicy.mConnectTimeout));
+  if (mExchange.mCaller->Gone()) {
+    co_return Step::Done;
+  }
+  if (!connection) {
+    ++mExchange.mRefusals;
+    LogEvent(Severity::Warn,
+             "connect_failed",
+             { { "id", mExchange.mFacts.mId },
+               { "endpoint", aEndpoint->mRegistration.mId },
+               { "reason", connection.error().message() } });
+    NoteExchange(mState, *aEndpoint, ExchangeResult::Refused);
+    co_return Step::NotRun;
+  }
+  auto& stream = (*connection)->mStream;
+  mExchange.mCaller->mOnGone = [&stream] { stream.close(); };
+  const auto begun = Clock::now();
+  auto step = co_await Send(*aEndpoint, **connection);
+  std::unique_ptr<ResponseParser> parser;
+  if (step == Step::Done) {
+    step = co_await ReadAnswerHead(*aEndpoint, **connection, parser);
+  }
+  if (step == Step::Done) {
+    const auto facts = mProtocol.mReadAnswer(parser->get().base());
+    step = co_await Deliver(*aEndpoint, **connection, *parser, facts);
+    if (step == Step::Done && !mExchange.mCaller->Gone()) {
+      auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
+      const std::chrono::duration<double> took = Clock::now() - begun;
+      pool.mMeanSeconds =
+        pool.mMeanSeconds == 0
+          ? took.count()
+          : kDurationDecay * pool.mMeanSeconds +
+              (1 - kDurationDecay) * took.count();
+    }
+  }
+  mExchange.mCaller->mOnGone = nullptr;
+  if (mExchange.mCaller->Gone()) {
+    co_return Step::Done;
+  }
+  if (step == Step::Done || step == Step::NotRun) {
+    if (parser) {
+      const auto usableUntil =
+        ReusableUntil(**connection, *parser, Clock::now());
+      mState.mPool.Release(std::move(*connection), usableUntil);
+    }
+  }
+  co_return step;
+}
+
+auto Runner::Send(Endpoint& aEndpoint, ClientConnection& aConnection)
+  -> Task<Step>
+{
+  const auto now = Clock::now();
+  Dispatch dispatch;
+  dispatch.mEndpointId = aEndpoint.mRegistration.mId;
+  dispatch.mTeam = mExchange.mTeam;
+  dispatch.mRemaining =
+    std::max(kMinRemaining,
+             std::chrono::duration_cast<milliseconds>(mExchange.mDeadline - now));
+  dispatch.mResumeAfter = mExchange.mLastEvent;
+  const auto request = mProtocol.mEndpointRequest(*mExchange.mRequest, dispatch);
+  ++mExchange.mAttempts;
+  const auto error =
+    co_await SendRequest(aConnection, request, FirstByteDeadline());
+  if (error && !mExchange.mCaller->Gone()) {
+    NoteFailure(aEndpoint, absl::StrCat("send: ", error.message()));
+    co_return Step::Failed;
+  }
+  co_return Step::Done;
+}
+
+auto Runner::ReadAnswerHead(Endpoint& aEndpoint,
+                            ClientConnection& aConnection,
+                            std::unique_ptr<ResponseParser>& aParser)
+  -> Task<Step>
+{
+  for (int strays = 0; strays <= kMaxStrayAnswers; ++strays) {
+    aParser = std::make_unique<ResponseParser>();
+    const auto error =
+      co_await ReadHead(aConnection, *aParser, FirstByteDeadline());
+    if (mExchange.mCaller->Gone()) {
+      co_return Step::Done;
+    }
+    if (error) {
+      // A reused connection may have been closed under the request.
+      if (aConnection.mReused && error == http::error::end_of_stream) {
+        mState.mPool.Forget(aConnection.mAddress);
+        co_return Step::Failed;
+      }
+      NoteFailure(aEndpoint, absl::StrCat("head: ", error.message()));
+      co_return Step::Failed;
+    }
+    const auto facts = mProtocol.mReadAnswer(aParser->get().base());
+    if (facts.mId.empty() || facts.mId == mExchange.mFacts.mId) {
+      co_return Step::Done;
+    }
+    // A second answer to an earlier request on this connection.
+    LogEvent(Severity::Warn,
+             "stray_answer",
+             { { "id", mExchange.mFacts.mId },
+               { "answers", facts.mId },
+               { "endpoint", aEndpoint.mRegistration.mId } });
+    if (co_await ReadBody(aConnection, *aParser, FirstByteDeadline())) {
+      break;
+    }
+  }
+  NoteFailure(aEndpoint, "answer to another request");
+  co_return Step::Failed;
+}
+
+auto Runner::Deliver(Endpoint& aEndpoint,
+                     ClientConnection& aConnection,
+                     ResponseParser& aParser,
+                     const AnswerFacts& aFacts) -> Task<Step>
+{
+  if (aFacts.mLoad) {
+    NoteReportedLoad(mState, aEndpoint, *aFacts.mLoad);
+  }
+  const auto status = aParser.get().result_int();
+  if (aFacts.mNotRun || aFacts.mOtherEndpoint) {
+    --mExchange.mAttempts;
+    ++mExchange.mRefusals;
+    LogEvent(Severity::Info,
+             "endpoint_refused",
+             { { "id", mExchange.mFacts.mId },
+               { "endpoint", aEndpoint.mRegistration.mId },
+               { "status", absl::StrCat(status) } });
+    NoteExchange(mState,
+                 aEndpoint,
+                 aFacts.mOtherEndpoint ? ExchangeResult::Leaving
+                                       : ExchangeResult::Ignored);
+    if (co_await ReadBody(aConnection, aParser, FirstByteDeadline())) {
+      aConnection.mStream.close();
+    }
+    co_return Step::NotRun;
+  }
+  const auto success = status >= 200 && status < 300;
+  if (success && (!aFacts.mSigned || aFacts.mId.empty())) {
+    NoteFailure(aEndpoint, "success without a signature or id");
+    co_return Step::Failed;
+  }
+  if (status >= 500 && MayTryElsewhereAfterRun()) {
+    NoteFailure(aEndpoint, absl::StrCat("status ", status));
+    co_return Step::Failed;
+  }
+  if (mExchange.mBegun && !success) {
+    NoteFailure(aEndpoint, absl::StrCat("resumption refused: ", status));
+    co_return Step::Failed;
+  }
+  co_return co_await(success && aFacts.mIsEventStream
+                       ? DeliverStream(aEndpoint, aConnection, aParser)
+                       : DeliverWhole(aEndpoint, aConnection, aParser));
+}
+
+auto Runner::DeliverWhole(Endpoint& aEndpoint,
+                          ClientConnection& aConnection,
+                          ResponseParser& aParser) -> Task<Step>
+{
+  const auto error = co_await ReadBody(aConnection, aParser, GapDeadline());
+  if (mExchange.mCaller->Gone()) {
+    co_return Step::Done;
+  }
+  if (error) {
+    NoteFailure(aEndpoint, absl::StrCat("body: ", error.message()));
+    co_return Step::Failed;
+  }
+  const auto failed = aParser.get().result_int() >= 500;
+  NoteExchange(mState,
+               aEndpoint,
+               failed ? ExchangeResult::Failed : ExchangeResult::Good);
+  Response response;
+  response.base() = mProtocol.mCallerHead(aParser.get().base());
+  response.body() = std::move(aParser.get().body());
+  co_await mExchange.mCaller->Reply(std::move(response));
+  co_return Step::Done;
+}
+
+auto Runner::DeliverStream(Endpoint& aEndpoint,
+                           ClientConnection& aConnection,
+                           ResponseParser& aParser) -> Task<Step>
+{
+  EventSplitter splitter;
+  while (!aParser.is_done()) {
+    const auto bytes =
+      co_await ReadSomeBody(aConnection, aParser, GapDeadline());
+    if (mExchange.mCaller->Gone()) {
+      co_return Step::Done;
+    }
+    if (!bytes) {
+      NoteFailure(aEndpoint, absl::StrCat("stream: ", bytes.error().message()));
+      co_return Step::Failed;
+    }
+    const auto events = SplitEvents(splitter, *bytes);
+    const auto step = co_await ForwardEvents(events, aParser);
+    if (step == Step::Failed) {
+      NoteFailure(aEndpoint, "stream: events are missing");
+    }
+    if (step != Step::Done || mExchange.mCaller->Gone()) {
+      co_return step;
+    }
+  }
+  if (!splitter.mPartial.empty()) {
+    NoteFailure(aEndpoint, "stream: ended within an event");
+    co_return Step::Failed;
+  }
+  NoteExchange(mState, aEndpoint, ExchangeResult::Good);
+  if (!mExchange.mBegun) {
+    co_await SendToCaller("", aParser);
+  }
+  co_await mExchange.mCaller->EndChunks();
+  co_return Step::Done;
+}
+
+auto Runner::ForwardEvents(const std::vector<StreamEvent>& aEvents,
+                           const ResponseParser& aParser) -> Task<Step>
+{
+  std::string bytes;
+  for (const auto& event : aEvents) {
+    const auto order = OrderOf(event, mExchange.mLastEvent);
+    if (order == EventOrder::Gap) {
+      co_return Step::Failed;
+    }
+    if (order == EventOrder::Next) {
+      bytes += event.mText;
+      mExchange.mLastEvent = event.mId ? event.mId : mExchange.mLastEvent;
+    }
+  }
+  if (!bytes.empty()) {
+    co_await SendToCaller(std::move(bytes), aParser);
+  }
+  co_return Step::Done;
+}
+
+auto Runner::SendToCaller(std::string aBytes, const ResponseParser& aParser)
+  -> Task<bool>
+{
+  if (mExchange.mBegun) {
+    co_return co_await mExchange.mCaller->SendChunk(std::move(aBytes));
+  }
+  mExchange.mBegun = true;
+  co_return co_await mExchange.mCaller->BeginChunks(
+    mProtocol.mCallerHead(aParser.get().base()), std::move(aBytes));
+}
+
+} // namespace
+
+auto CheckCall(const ServingDocument& aDocument, const CallFacts& aFacts)
+  -> Admission
+{
+  Admission admission;
+  admission.mRoute = FindRoute(aDocument, aFacts.mHost, aFacts.mPath);
+  if (admission.mRoute == nullptr) {
+    admission.mRefusal = Refusal::NoRoute;
+    return admission;
+  }
+  if (!aDocument.mKeysRequired || admission.mRoute->mPublic) {
+    return admission;
+  }
+  const auto team = aDocument.mTeamOfKey.find(aFacts.mKey);
+  if (team == aDocument.mTeamOfKey.end()) {
+    admission.mRefusal = Refusal::UnknownKey;
+  } else {
+    admission.mTeam = team->second;
+  }
+  return admission;
+}
+
+auto ExpectedWait(std::size_t aAhead, double aSlots, double aMeanSeconds)
+  -> Duration
+{
+  if (aSlots <= 0) {
+    return Duration::zero();
+  }
+  const auto seconds =
+    static_cast<double>(aAhead + 1) * aMeanSeconds / aSlots;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(seconds));
+}
+
+auto Relay::Serve(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
+  -> Task<>
+{
+  Exchange exchange;
+  exchange.mCaller = aCaller;
+  exchange.mFacts = mProtocol.mReadCall(aRequest->base());
+  exchange.mRequest = std::move(aRequest);
+  exchange.mDocument = mState.mDocument;
+  const auto refuse = [&](Refusal aRefusal,
+                          std::optional<milliseconds> aRetryAfter) {
+    LogEvent(Severity::Info,
+             "request_refused",
+             { { "id", exchange.mFacts.mId },
+               { "host", exchange.mFacts.mHost },
+               { "path", exchange.mFacts.mPath },
+               { "team", exchange.mTeam },
+               { "reason", absl::StrCat(static_cast<int>(aRefusal)) } });
+    return exchange.mCaller->Reply(
+      mProtocol.mRefuse(aRefusal, exchange.mFacts.mId, aRetryAfter));
+  };
+  if (!exchange.mDocument) {
+    co_await refuse(Refusal::NotReady, kDefaultRetryAfter);
+    co_return;
+  }
+  const auto admission = CheckCall(*exchange.mDocument, exchange.mFacts);
+  exchange.mTeam = admission.mTeam;
+  if (admission.mRefusal) {
+    co_await refuse(*admission.mRefusal, std::nullopt);
+    co_return;
+  }
+  exchange.mRoute = admission.mRoute;
+  const auto rate = mState.mRates.find(exchange.mTeam);
+  const auto now = Clock::now();
+  if (rate != mState.mRates.end() && !Admit(rate->second, now)) {
+    const auto wait = NextTokenAt(rate->second, now) - now;
+    co_await refuse(Refusal::OverRate,
+                    std::chrono::duration_cast<milliseconds>(wait));
+    co_return;
+  }
+  const auto team = exchange.mDocument->mTeams.find(exchange.mTeam);
+  exchange.mPriority =
+    team != exchange.mDocument->mTeams.end() && team->second.mPriority
+      ? *team->second.mPriority
+      : exchange.mRoute->mPriority;
+  exchange.mService =
+    PickService(*exchange.mRoute, Uniform(mState.mRandom));
+  exchange.mLastEvent = exchange.mFacts.mResumeAfter;
+  const auto patience =
+    exchange.mFacts.mPatience.value_or(exchange.mRoute->mTimeout);
+  exchange.mDeadline =
+    aCaller->mArrivedAt + std::min(patience, exchange.mRoute->mTimeout);
+  Runner runner(mState, mProtocol, mPolicy, exchange);
+  co_await runner.Run();
+}
+
+} // namespace mangovalve
--- a/mangovalve/replay/apply.h
+++ b/mangovalve/replay/apply.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 #include "mangovalve/replay/fleet_state.h"
 
 namespace mangovalve {
--- a/mangovalve/replay/commit_queue.h
+++ b/mangovalve/replay/commit_queue.h
@@ -16,7 +16,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 #include "mangovalve/replay/apply.h"
 #include "mangovalve/replay/journal.h"
 
--- a/mangovalve/replay/fake_log.h
+++ b/mangovalve/replay/fake_log.h
@@ -9,7 +9,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 
 namespace mangovalve {
 
--- a/mangovalve/replay/replica.h
+++ b/mangovalve/replay/replica.h
@@ -23,7 +23,7 @@
 #include "mangovalve/base/thread.h"
 #include "mangovalve/base/time.h"
 #include "mangovalve/config/document.h"
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 #include "mangovalve/replay/apply.h"
 #include "mangovalve/replay/fleet_state.h"
 #include "mangovalve/replay/snapshot.h"
--- a/mangovalve/replay/writer.h
+++ b/mangovalve/replay/writer.h
@@ -9,7 +9,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "mangovalve/base/thread.h"
-#include "mangovalve/platform/log_port.h"
+#include "mangovalve/log_service/log_port.h"
 #include "mangovalve/replay/commit_queue.h"
 #include "mangovalve/replay/journal.h"
 #include "mangovalve/replay/replica.h"
--- /dev/null
+++ b/mangovalve/serving/daemon.cc
@@ -0,0 +1,515 @@
+// A serving daemon.
+#include "mangovalve/serving/daemon.h"
+
+#include <csignal>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/batch/flat_table.h"
+#include "mangovalve/serving/table_follower.h"
+#include "mangovalve/telemetry/counters.h"
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kStatePath = "/state";
+constexpr auto kMetricsPath = "/metrics";
+
+// Held, so that a change arrives at once; short, so that a silent connection
+// is noticed well within the bound for configurations.
+constexpr FollowPolicy kFollowDocument{ std::chrono::seconds(2), true };
+
+// Endpoints write so often that a held read would return at once each time.
+// Half a second leaves most of the 2 s within which a leaving endpoint must get
+// no more work.
+constexpr FollowPolicy kFollowEndpoints{ milliseconds(500), false };
+
+// New hosts also make themselves known by their reports.
+constexpr FollowPolicy kFollowHosts{ std::chrono::seconds(2), false };
+
+constexpr auto kHouseInterval = milliseconds(200);
+constexpr auto kPeerTimeout = milliseconds(800);
+constexpr auto kRegisterPause = milliseconds(500);
+
+// The balancer asks once a second and takes a host out after two misses.
+constexpr auto kOutOfRotation = milliseconds(2300);
+
+// Kept from the end of the grace period, for the last writes and the exit.
+constexpr auto kExitMargin = milliseconds(700);
+
+// Part of the grace period for running batch items to end.
+constexpr auto kItemsToEnd = milliseconds(3500);
+
+constexpr auto kDrainPoll = milliseconds(50);
+
+auto PeerLimits() -> CallerLimits
+{
+  CallerLimits limits;
+  limits.mMaxBodyBytes = 64 * 1024 * 1024;
+  limits.mIdleTimeout = milliseconds(30000);
+  return limits;
+}
+
+} // namespace
+
+ServingDaemon::ServingDaemon(
+  asio::io_context& aLoop,
+  ServingSettings aSettings,
+  Protocol aProtocol,
+  RecordReaders aReaders,
+  const std::function<auto(ConnectionPool&)->TablePorts>& aTables)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mProtocol(std::move(aProtocol))
+  , mReaders(std::move(aReaders))
+  , mState(aLoop)
+  , mTables(aTables(mState.mPool))
+  , mRelay(mState, mProtocol)
+  , mJobs(mState, mProtocol, mTables)
+  , mCallers(
+      aLoop,
+      [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+        return HandleCaller(std::move(aCaller), std::move(aRequest));
+      },
+      [this] {
+        return mState.mDocument ? mState.mDocument->mLimits : CallerLimits{};
+      })
+  , mReadiness(
+      aLoop,
+      [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+        return HandleReadiness(std::move(aCaller), std::move(aRequest));
+      },
+      PeerLimits)
+  , mPeers(
+      aLoop,
+      [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+        return HandlePeer(std::move(aCaller), std::move(aRequest));
+      },
+      PeerLimits)
+  , mOperators(
+      aLoop,
+      [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+        return HandlePeer(std::move(aCaller), std::move(aRequest));
+      },
+      PeerLimits)
+  , mIncarnation(
+      static_cast<std::uint64_t>(WallNow().time_since_epoch().count()))
+  , mReports(aLoop,
+             { [this] {
+                auto report = OwnReport(mState);
+                mJobs.AddClaims(report);
+                return report;
+              },
+               [this] {
+                 std::vector<std::string> peers;
+                 for (const auto& [host, peer] : mState.mFleet.mPeers) {
+                   peers.push_back(host);
+                 }
+                 return peers;
+               },
+               [this](wire::LoadReportT aReport) {
+                 if (aReport.host != mState.mHost) {
+                   TakeReport(mState, std::move(aReport), mIncarnation);
+                 }
+               } },
+             mIncarnation)
+{
+  mState.mHost = mSettings.mPeers;
+  mState.mDomain = mSettings.mFailureDomain;
+  mState.mRandom.mState = mIncarnation ^ StableHash(mSettings.mName);
+  mTables.mJobPartitions = mSettings.mJobPartitions;
+  mTables.mMaxRecordBytes = mSettings.mMaxRecordBytes;
+  mTables.mMaxCallBytes = mSettings.mMaxCallBytes;
+  mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
+}
+
+auto ServingDaemon::Start() -> Result<void, std::string>
+{
+  const auto bind = [](HttpServer& aServer, const std::string& aAddress) {
+    const auto error = aAddress.empty() ? ErrorCode{} : aServer.Listen(aAddress);
+    return error ? absl::StrCat("cannot listen on ",
+                                aAddress,
+                                ": ",
+                                error.message())
+                 : std::string();
+  };
+  for (const auto& failure : { bind(mCallers, mSettings.mCallers),
+                               bind(mReadiness, mSettings.mReadiness),
+                               bind(mPeers, mSettings.mPeers),
+                               bind(mOperators, mSettings.mOperators) }) {
+    if (!failure.empty()) {
+      return Err(failure);
+    }
+  }
+  if (const auto error = mReports.Start(mSettings.mPeers)) {
+    return Err(absl::StrCat(
+      "cannot bind datagrams to ", mSettings.mPeers, ": ", error.message()));
+  }
+  FollowTables();
+  mJobs.Start();
+  Spawn(mLoop, RegisterHost());
+  Spawn(mLoop, BootstrapFromPeers());
+  Spawn(mLoop, KeepHouse());
+  Spawn(mLoop, WaitForSignals());
+  LogEvent(Severity::Info,
+           "started",
+           { { "host", mSettings.mName },
+             { "domain", mSettings.mFailureDomain },
+             { "callers", mSettings.mCallers },
+             { "peers", mSettings.mPeers },
+             { "store", mSettings.mStore },
+             { "version", MANGOVALVE_VERSION } });
+  return {};
+}
+
+auto ServingDaemon::Ready() const -> bool
+{
+  return !mDraining && mState.mDocument && mEndpointsLoaded;
+}
+
+auto ServingDaemon::HandleReadiness(CallerPtr aCaller,
+                                    std::shared_ptr<Request> /*aRequest*/)
+  -> Task<>
+{
+  co_await aCaller->Reply(Response(
+    Ready() ? http::status::ok : http::status::service_unavailable, 11));
+}
+
+auto ServingDaemon::HandleCaller(CallerPtr aCaller,
+                                 std::shared_ptr<Request> aRequest) -> Task<>
+{
+  const auto document = mState.mDocument;
+  if (document) {
+    const auto facts = mProtocol.mReadCall(aRequest->base());
+    if (const auto call = mProtocol.mReadJobCall(aRequest->base())) {
+      co_await HandleJobCall(aCaller, *call, facts);
+      co_return;
+    }
+    const auto admission = CheckCall(*document, facts);
+    if (!admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch) {
+      co_await mJobs.ServeSubmission(
+        aCaller, aRequest, admission.mTeam, facts);
+      co_return;
+    }
+  }
+  co_await mRelay.Serve(aCaller, aRequest);
+}
+
+auto ServingDaemon::HandleJobCall(CallerPtr aCaller,
+                                  const JobCall& aCall,
+                                  const CallFacts& aFacts) -> Task<>
+{
+  const auto& document = *mState.mDocument;
+  const auto team = document.mTeamOfKey.find(aFacts.mKey);
+  if (document.mKeysRequired && team == document.mTeamOfKey.end()) {
+    co_await aCaller->Reply(
+      mProtocol.mRefuse(Refusal::UnknownKey, aFacts.mId, std::nullopt));
+    co_return;
+  }
+  const auto name = document.mKeysRequired ? team->second : std::string();
+  co_await mJobs.ServeCall(aCaller, name, aCall, aFacts.mId);
+}
+
+auto ServingDaemon::HandlePeer(CallerPtr aCaller,
+                               std::shared_ptr<Request> aRequest) -> Task<>
+{
+  if (co_await mJobs.ServePeer(aCaller, aRequest)) {
+    co_return;
+  }
+  Response response(http::status::ok, 11);
+  if (aRequest->target() == kStatePath) {
+    response.body() = PackTable<wire::StateCopy>(CopyState());
+  } else if (aRequest->target() == kMetricsPath) {
+    response.set(http::field::content_type, "text/plain");
+    response.body() = RenderCounters();
+  } else {
+    response.result(http::status::not_found);
+  }
+  co_await aCaller->Reply(std::move(response));
+}
+
+auto ServingDaemon::TakeDocument(const std::string& aBytes,
+                                 std::string_view aSource) -> void
+{
+  auto document = mReaders.mReadDocument(aBytes);
+  if (!document) {
+    LogEvent(Severity::Error,
+             "document_unreadable",
+             { { "source", std::string(aSource) },
+               { "reason", document.error() } });
+    return;
+  }
+  if (PutInForce(mState, std::make_shared<ServingDocument>(*document))) {
+    mDocumentBytes = aBytes;
+  }
+}
+
+auto ServingDaemon::TakeEndpoint(const KeyedRecord& aRecord) -> void
+{
+  auto registration = mReaders.mReadRegistration(aRecord.mKey, aRecord.mValue);
+  if (registration) {
+    mEndpointBytes[aRecord.mKey] = aRecord.mValue;
+    Register(mState.mDirectory, std::move(*registration));
+    return;
+  }
+  if (!aRecord.mValue.empty()) {
+    LogEvent(
+      Severity::Warn, "registration_unreadable", { { "key", aRecord.mKey } });
+  }
+  mEndpointBytes.erase(aRecord.mKey);
+  Unregister(mState.mDirectory, aRecord.mKey, Clock::now());
+}
+
+auto ServingDaemon::TakeAllEndpoints(const std::vector<KeyedRecord>& aRecords)
+  -> void
+{
+  std::vector<Registration> registrations;
+  mEndpointBytes.clear();
+  for (const auto& record : aRecords) {
+    auto registration =
+      mReaders.mReadRegistration(record.mKey, record.mValue);
+    if (registration) {
+      mEndpointBytes[record.mKey] = record.mValue;
+      registrations.push_back(std::move(*registration));
+    }
+  }
+  ReplaceAll(mState.mDirectory, std::move(registrations), Clock::now());
+  SyncPools(mState, Clock::now());
+  mEndpointsLoaded = true;
+}
+
+auto ServingDaemon::FollowTables() -> void
+{
+  const auto takeDocument = [this](const KeyedRecord& aRecord) {
+    if (aRecord.mKey == mReaders.mDocumentKey && !aRecord.mValue.empty()) {
+      TakeDocument(aRecord.mValue, "store");
+    }
+  };
+  const auto takeHost = [this](const KeyedRecord& aRecord) {
+    if (aRecord.mKey == mState.mHost) {
+      return;
+    }
+    if (aRecord.mValue.empty()) {
+      RemovePeer(mState.mFleet, aRecord.mKey);
+    } else if (ParseAddress(aRecord.mKey)) {
+      AddPeer(mState.mFleet, aRecord.mKey, Clock::now());
+    }
+  };
+  const auto each = [](const auto& aTake) {
+    return [aTake](const std::vector<KeyedRecord>& aRecords) {
+      for (const auto& record : aRecords) {
+        aTake(record);
+      }
+    };
+  };
+  const auto ignoreContact = [](bool) {};
+  Spawn(mLoop,
+        FollowTable(mTables,
+                    Table::Configuration,
+                    kFollowDocument,
+                    { each(takeDocument), takeDocument, ignoreContact }));
+  Spawn(mLoop,
+        FollowTable(mTables,
+                    Table::Hosts,
+                    kFollowHosts,
+                    { each(takeHost), takeHost, ignoreContact }));
+  const auto noteContact = [this](bool aAnswered) {
+    const auto now = Clock::now();
+    NoteStoreContact(mState.mDirectory, aAnswered, now);
+    SyncPools(mState, now);
+  };
+  Spawn(mLoop,
+        FollowTable(mTables,
+                    Table::Endpoints,
+                    kFollowEndpoints,
+                    { [this](const std::vector<KeyedRecord>& aRecords) {
+                       TakeAllEndpoints(aRecords);
+                     },
+                      [this](const KeyedRecord& aRecord) {
+                        TakeEndpoint(aRecord);
+                      },
+                      noteContact }));
+}
+
+auto ServingDaemon::CopyState() const -> wire::StateCopyT
+{
+  wire::StateCopyT copy;
+  copy.document_version =
+    mState.mDocument ? mState.mDocument->mVersion : 0;
+  copy.document.assign(mDocumentBytes.begin(), mDocumentBytes.end());
+  for (const auto& [id, bytes] : mEndpointBytes) {
+    auto record = std::make_unique<wire::RecordCopyT>();
+    record->key = id;
+    record->value.assign(bytes.begin(), bytes.end());
+    copy.endpoints.push_back(std::move(record));
+  }
+  for (const auto& [host, peer] : mState.mFleet.mPeers) {
+    copy.hosts.push_back(host);
+  }
+  copy.hosts.push_back(mState.mHost);
+  return copy;
+}
+
+// Takes the document, and with aWhole also endpoints and hosts, from a peer.
+auto ServingDaemon::FetchState(std::string aPeer, bool aWhole) -> Task<>
+{
+  Request request(http::verb::get, kStatePath, 11);
+  request.set(http::field::host, aPeer);
+  const auto response = co_await CallOnce(
+    mState.mPool, aPeer, std::move(request), Clock::now() + kPeerTimeout);
+  if (!response) {
+    co_return;
+  }
+  const auto copy = UnpackTable<wire::StateCopy>(response->body());
+  if (!copy) {
+    co_return;
+  }
+  if (!copy->document.empty()) {
+    TakeDocument(std::string(copy->document.begin(), copy->document.end()),
+                 aPeer);
+  }
+  if (!aWhole) {
+    co_return;
+  }
+  for (const auto& host : copy->hosts) {
+    if (host != mState.mHost && ParseAddress(host)) {
+      AddPeer(mState.mFleet, host, Clock::now());
+    }
+  }
+  if (mEndpointsLoaded || copy->endpoints.empty()) {
+    co_return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const auto& record : copy->endpoints) {
+    records.push_back({ record->key,
+                        std::string(record->value.begin(), record->value.end()),
+                        0 });
+  }
+  TakeAllEndpoints(records);
+  LogEvent(Severity::Info, "state_from_peer", { { "peer", aPeer } });
+}
+
+// A daemon that starts while the store is away serves from what its peers know.
+auto ServingDaemon::BootstrapFromPeers() -> Task<>
+{
+  constexpr auto kStoreFirst = milliseconds(600);
+  constexpr auto kPause = milliseconds(500);
+  co_await SleepUntil(Clock::now() + kStoreFirst);
+  while (!mState.mDocument || !mEndpointsLoaded) {
+    auto peers = mSettings.mSeeds;
+    for (const auto& [host, peer] : mState.mFleet.mPeers) {
+      peers.push_back(host);
+    }
+    for (const auto& peer : peers) {
+      if (peer != mSettings.mOperators && peer != mState.mHost) {
+        co_await FetchState(peer, true);
+      }
+    }
+    co_await SleepUntil(Clock::now() + kPause);
+  }
+}
+
+auto ServingDaemon::WriteHostRecord(std::string aValue) -> Task<bool>
+{
+  std::vector<KeyedRecord> records;
+  records.push_back({ mState.mHost, std::move(aValue), 0 });
+  const auto done = co_await mTables.mAppend(Table::Hosts,
+                                             0,
+                                             std::move(records),
+                                             std::nullopt,
+                                             Clock::now() + kPeerTimeout);
+  co_return done.has_value();
+}
+
+auto ServingDaemon::RegisterHost() -> Task<>
+{
+  while (!mDraining) {
+    if (co_await WriteHostRecord(mSettings.mFailureDomain)) {
+      co_return;
+    }
+    co_await SleepUntil(Clock::now() + kRegisterPause);
+  }
+}
+
+auto ServingDaemon::UnregisterHost() -> Task<>
+{
+  if (!co_await WriteHostRecord("")) {
+    LogEvent(Severity::Warn, "unregister_failed");
+  }
+}
+
+// Fetches the document from a peer that has a newer one: the store may not
+// answer this daemon.
+auto ServingDaemon::FetchNewerDocument(TimePoint aNow) -> void
+{
+  const auto own = mState.mDocument ? mState.mDocument->mVersion : 0;
+  for (const auto& [host, peer] : mState.mFleet.mPeers) {
+    if (!mFetching && !peer.mSilent && peer.mLast.document > own &&
+        aNow < peer.mHeardAt + kPeerTimeout) {
+      mFetching = true;
+      Spawn(mLoop, [](ServingDaemon& aDaemon, std::string aPeer) -> Task<> {
+        co_await aDaemon.FetchState(std::move(aPeer), false);
+        aDaemon.mFetching = false;
+      }(*this, host));
+    }
+  }
+}
+
+auto ServingDaemon::KeepHouse() -> Task<>
+{
+  for (;;) {
+    const auto now = Clock::now();
+    SyncPools(mState, now);
+    UpdateSilence(mState, now);
+    mState.mPool.CloseExpired(now);
+    FetchNewerDocument(now);
+    WakeAllFirsts(mState);
+    co_await SleepUntil(now + kHouseInterval);
+  }
+}
+
+auto ServingDaemon::WaitForSignals() -> Task<>
+{
+  asio::signal_set signals(mLoop, SIGTERM, SIGINT, SIGHUP);
+  for (;;) {
+    ErrorCode error;
+    const auto signal = co_await signals.async_wait(Into(error));
+    if (error) {
+      co_return;
+    }
+    LogEvent(Severity::Info, "signal", { { "number", absl::StrCat(signal) } });
+    // Addresses can't change while callers are served, so a reload has nothing
+    // to do beyond the line in the log.
+    if (signal != SIGHUP && !mDraining) {
+      Spawn(mLoop, Drain());
+    }
+  }
+}
+
+auto ServingDaemon::Drain() -> Task<>
+{
+  const auto started = Clock::now();
+  const auto exitBy = started + mSettings.mTerminationGrace - kExitMargin;
+  mDraining = true;
+  LogEvent(Severity::Info,
+           "draining",
+           { { "active", absl::StrCat(mCallers.Active()) } });
+  mCallers.CloseAfterAnswers();
+  co_await mJobs.Drain(started + kItemsToEnd);
+  co_await SleepUntil(started + kOutOfRotation);
+  mCallers.StopAccepting();
+  mCallers.CloseIdle();
+  while (mCallers.Active() > 0 && Clock::now() < exitBy) {
+    co_await SleepUntil(Clock::now() + kDrainPoll);
+  }
+  co_await UnregisterHost();
+  LogEvent(Severity::Info,
+           "stopped",
+           { { "cut", absl::StrCat(mCallers.Active()) } });
+  mLoop.stop();
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/serving/directory.cc
@@ -0,0 +1,94 @@
+// The endpoints that a daemon knows.
+#include "mangovalve/serving/directory.h"
+
+#include <set>
+
+namespace mangovalve {
+namespace {
+
+// Living endpoints are registered again within about 2 s of the store's
+// return; the platform's description says so.
+constexpr auto kReturnGrace = std::chrono::milliseconds(2000);
+
+auto RemovalIsCertain(const Directory& aDirectory, TimePoint aNow) -> bool
+{
+  return aDirectory.mStoreAnswers &&
+         aNow >= aDirectory.mStoreBackAt + kReturnGrace;
+}
+
+} // namespace
+
+auto Register(Directory& aDirectory, Registration aRegistration) -> void
+{
+  auto id = aRegistration.mId;
+  aDirectory.mEntries.insert_or_assign(
+    std::move(id), DirectoryEntry{ std::move(aRegistration), std::nullopt });
+}
+
+auto Unregister(Directory& aDirectory, const std::string& aId, TimePoint aNow)
+  -> void
+{
+  const auto found = aDirectory.mEntries.find(aId);
+  if (found == aDirectory.mEntries.end()) {
+    return;
+  }
+  // One that had said it was leaving does not come back.
+  if (RemovalIsCertain(aDirectory, aNow) ||
+      found->second.mRegistration.mLeaving) {
+    found->second.mRemoveAt = aNow;
+  } else if (!found->second.mRemoveAt) {
+    found->second.mRemoveAt =
+      (aDirectory.mStoreAnswers ? aDirectory.mStoreBackAt : aNow) +
+      kReturnGrace;
+  }
+}
+
+auto ReplaceAll(Directory& aDirectory,
+                std::vector<Registration> aRegistrations,
+                TimePoint aNow) -> void
+{
+  std::set<std::string> present;
+  for (auto& registration : aRegistrations) {
+    present.insert(registration.mId);
+    Register(aDirectory, std::move(registration));
+  }
+  for (const auto& [id, entry] : aDirectory.mEntries) {
+    if (!present.contains(id)) {
+      Unregister(aDirectory, id, aNow);
+    }
+  }
+}
+
+auto NoteStoreContact(Directory& aDirectory, bool aAnswered, TimePoint aNow)
+  -> void
+{
+  if (aAnswered && !aDirectory.mStoreAnswers) {
+    aDirectory.mStoreBackAt = aNow;
+    for (auto& [id, entry] : aDirectory.mEntries) {
+      if (entry.mRemoveAt) {
+        entry.mRemoveAt = aNow + kReturnGrace;
+      }
+    }
+  }
+  aDirectory.mStoreAnswers = aAnswered;
+}
+
+auto ApplyRemovals(Directory& aDirectory, TimePoint aNow)
+  -> std::vector<std::string>
+{
+  std::vector<std::string> removed;
+  for (auto it = aDirectory.mEntries.begin();
+       it != aDirectory.mEntries.end();) {
+    // Without the store a removal that was held back can't be confirmed.
+    if (it->second.mRemoveAt && aDirectory.mStoreAnswers &&
+        *it->second.mRemoveAt <= aNow) {
+      removed.push_back(it->first);
+      it = aDirectory.mEntries.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return removed;
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/serving/state.cc
@@ -0,0 +1,340 @@
+// Soft state of a serving daemon.
+#include "mangovalve/serving/state.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/base/id.h"
+#include "mangovalve/telemetry/event_log.h"
+
+namespace mangovalve {
+namespace {
+
+// Reported load beyond what the fleet accounts for halves in this time. It is
+// about how long a load report of a peer may be missing.
+constexpr double kUnseenHalfLifeSeconds = 0.25;
+
+// A peer that has not been heard for this long is silent. Several report
+// intervals, so that lost datagrams do not count.
+constexpr auto kSilentAfter = std::chrono::milliseconds(1500);
+
+// A silent peer stays registered this long: a short cut or freeze must not
+// give its part of the rates to the others.
+constexpr auto kForgetAfter = std::chrono::seconds(12);
+
+auto Unseen(const Endpoint& aEndpoint, TimePoint aNow) -> double
+{
+  const std::chrono::duration<double> age = aNow - aEndpoint.mUnseenAt;
+  return aEndpoint.mUnseen *
+         std::exp2(-std::max(0.0, age.count()) / kUnseenHalfLifeSeconds);
+}
+
+auto TotalInFlight(const ServingState& aState, const Endpoint& aEndpoint)
+  -> InFlight
+{
+  const auto peers = PeerInFlight(aState.mFleet, aEndpoint.mHash);
+  return InFlight{ aEndpoint.mOwn.mOnline + peers.mOnline,
+                   aEndpoint.mOwn.mBatch + peers.mBatch };
+}
+
+auto FindEndpoint(ServicePool& aPool, const std::string& aId) -> EndpointPtr
+{
+  for (const auto& endpoint : aPool.mEndpoints) {
+    if (endpoint->mRegistration.mId == aId) {
+      return endpoint;
+    }
+  }
+  return nullptr;
+}
+
+// Adds or updates the endpoint of one registration.
+auto SyncEndpoint(ServingState& aState,
+                  const Registration& aRegistration,
+                  TimePoint aNow) -> void
+{
+  auto& pool = aState.mPools[aRegistration.mService];
+  auto endpoint = FindEndpoint(pool, aRegistration.mId);
+  // An id that was used by an earlier incarnation says nothing about this one.
+  if (endpoint &&
+      endpoint->mRegistration.mStartedMs != aRegistration.mStartedMs) {
+    endpoint->mHealth = Health{};
+    endpoint->mUnseen = 0;
+  }
+  if (!endpoint) {
+    endpoint = std::make_shared<Endpoint>();
+    endpoint->mHash = StableHash(aRegistration.mId);
+    endpoint->mUnseenAt = aNow;
+    pool.mEndpoints.push_back(endpoint);
+    LogEvent(Severity::Info,
+             "endpoint_added",
+             { { "endpoint", aRegistration.mId },
+               { "service", aRegistration.mService },
+               { "address", aRegistration.mAddress },
+               { "domain", aRegistration.mDomain } });
+  } else if (aRegistration.mLeaving &&
+             !endpoint->mRegistration.mLeaving) {
+    LogEvent(Severity::Info,
+             "endpoint_leaving",
+             { { "endpoint", aRegistration.mId } });
+  }
+  endpoint->mRegistration = aRegistration;
+}
+
+auto DropMissing(ServingState& aState) -> void
+{
+  for (auto& [service, pool] : aState.mPools) {
+    std::erase_if(pool.mEndpoints, [&](const EndpointPtr& aEndpoint) {
+      const auto& id = aEndpoint->mRegistration.mId;
+      const auto found = aState.mDirectory.mEntries.find(id);
+      const auto gone =
+        found == aState.mDirectory.mEntries.end() ||
+        found->second.mRegistration.mService != service;
+      if (gone) {
+        aEndpoint->mRemoved = true;
+        aState.mPool.Forget(aEndpoint->mRegistration.mAddress);
+        LogEvent(Severity::Info, "endpoint_removed", { { "endpoint", id } });
+      }
+      return gone;
+    });
+  }
+}
+
+auto ShareOfRates(const ServingState& aState) -> double
+{
+  const auto heard = static_cast<double>(HeardPeers(aState.mFleet) + 1);
+  const auto registered = static_cast<double>(aState.mFleet.mPeers.size() + 1);
+  return heard / registered;
+}
+
+} // namespace
+
+auto PutInForce(ServingState& aState,
+                std::shared_ptr<const ServingDocument> aDocument) -> bool
+{
+  if (aState.mDocument && aDocument->mVersion <= aState.mDocument->mVersion) {
+    return false;
+  }
+  const auto now = Clock::now();
+  for (const auto& [name, team] : aDocument->mTeams) {
+    SetLimits(aState.mRates[name], team.mRate, team.mBurst, now);
+  }
+  std::erase_if(aState.mRates, [&](const auto& aRate) {
+    return !aDocument->mTeams.contains(aRate.first);
+  });
+  LogEvent(Severity::Info,
+           "document_in_force",
+           { { "version", absl::StrCat(aDocument->mVersion) },
+             { "routes", absl::StrCat(aDocument->mRoutes.size()) },
+             { "teams", absl::StrCat(aDocument->mTeams.size()) } });
+  aState.mDocument = std::move(aDocument);
+  WakeAllFirsts(aState);
+  return true;
+}
+
+auto SyncPools(ServingState& aState, TimePoint aNow) -> void
+{
+  static_cast<void>(ApplyRemovals(aState.mDirectory, aNow));
+  DropMissing(aState);
+  for (const auto& [id, entry] : aState.mDirectory.mEntries) {
+    SyncEndpoint(aState, entry.mRegistration, aNow);
+  }
+  for (auto& [service, pool] : aState.mPools) {
+    std::vector<Health*> healths;
+    for (const auto& endpoint : pool.mEndpoints) {
+      healths.push_back(&endpoint->mHealth);
+    }
+    UpdateEjections(healths, aState.mHealth, aNow);
+  }
+}
+
+auto Candidates(const ServingState& aState,
+                const ServicePool& aPool,
+                TimePoint aNow) -> std::vector<PlacementCandidate>
+{
+  std::vector<PlacementCandidate> candidates;
+  candidates.reserve(aPool.mEndpoints.size());
+  auto usable = false;
+  for (const auto& endpoint : aPool.mEndpoints) {
+    const auto total = TotalInFlight(aState, *endpoint);
+    PlacementCandidate candidate;
+    candidate.mOwnDomain = endpoint->mRegistration.mDomain == aState.mDomain;
+    candidate.mUsable = !endpoint->mRegistration.mLeaving &&
+                        Usable(endpoint->mHealth, aNow);
+    candidate.mSlots = endpoint->mRegistration.mSlots;
+    candidate.mOnline = total.mOnline;
+    candidate.mBatch = total.mBatch;
+    candidate.mUnseen = Unseen(*endpoint, aNow);
+    candidate.mSlowStart =
+      SlowStartShare(endpoint->mHealth, aState.mHealth, aNow);
+    usable = usable || candidate.mUsable;
+    candidates.push_back(candidate);
+  }
+  // When no endpoint looks healthy, trying one is better than refusing all.
+  for (std::size_t i = 0; !usable && i < candidates.size(); ++i) {
+    candidates[i].mUsable = !aPool.mEndpoints[i]->mRegistration.mLeaving;
+  }
+  return candidates;
+}
+
+EndpointUse::EndpointUse(ServingState& aState, EndpointPtr aEndpoint, Work aWork)
+  : mState(aState)
+  , mEndpoint(std::move(aEndpoint))
+  , mWork(aWork)
+{
+  ++Count();
+}
+
+EndpointUse::~EndpointUse()
+{
+  --Count();
+  const auto pool = mState.mPools.find(mEndpoint->mRegistration.mService);
+  if (pool != mState.mPools.end()) {
+    WakeFirst(pool->second);
+  }
+}
+
+auto EndpointUse::Count() -> std::uint32_t&
+{
+  return mWork == Work::Online ? mEndpoint->mOwn.mOnline
+                               : mEndpoint->mOwn.mBatch;
+}
+
+auto WakeFirst(ServicePool& aPool) -> void
+{
+  if (!aPool.mLine.empty()) {
+    aPool.mLine.begin()->mWakeup->Give();
+  }
+}
+
+auto WakeAllFirsts(ServingState& aState) -> void
+{
+  for (auto& [service, pool] : aState.mPools) {
+    WakeFirst(pool);
+  }
+}
+
+auto NoteExchange(ServingState& aState,
+                  Endpoint& aEndpoint,
+                  ExchangeResult aResult) -> void
+{
+  const auto now = Clock::now();
+  NoteResult(aEndpoint.mHealth, aResult, aState.mHealth, now);
+  if (aResult != ExchangeResult::Failed) {
+    return;
+  }
+  aState.mPool.Forget(aEndpoint.mRegistration.mAddress);
+  SyncPools(aState, now); // an ejection takes effect at once
+}
+
+auto NoteReportedLoad(const ServingState& aState,
+                      Endpoint& aEndpoint,
+                      const ReportedLoad& aLoad) -> void
+{
+  const auto total = TotalInFlight(aState, aEndpoint);
+  const auto known = static_cast<double>(total.mOnline + total.mBatch);
+  const auto reported = static_cast<double>(aLoad.mRunning + aLoad.mWaiting);
+  aEndpoint.mUnseen = std::max(0.0, reported - known);
+  aEndpoint.mUnseenAt = Clock::now();
+}
+
+auto TakeReport(ServingState& aState,
+                wire::LoadReportT aReport,
+                std::uint64_t aOwnIncarnation) -> void
+{
+  const auto now = Clock::now();
+  const auto host = aReport.host;
+  const auto known = aState.mFleet.mPeers.find(host);
+  const auto back = known == aState.mFleet.mPeers.end() || known->second.mSilent;
+  if (!ApplyReport(aState.mFleet, std::move(aReport), now)) {
+    return;
+  }
+  const auto& report = aState.mFleet.mPeers[host].mLast;
+  const auto startedLater = report.incarnation > aOwnIncarnation;
+  absl::flat_hash_map<std::uint64_t, const wire::TeamUseT*> uses;
+  for (const auto& use : report.teams) {
+    uses[use->team] = use.get();
+  }
+  for (auto& [name, rate] : aState.mRates) {
+    const auto use = uses.find(StableHash(name));
+    if (use == uses.end()) {
+      continue;
+    }
+    NotePeer(rate,
+             host,
+             report.incarnation,
+             use->second->admitted,
+             startedLater && !back,
+             now);
+    if (back && !startedLater) {
+      LowerTo(rate, use->second->level);
+    }
+  }
+  if (back) {
+    UpdateSilence(aState, now);
+    LogEvent(Severity::Info, "peer_heard", { { "peer", host } });
+  }
+  WakeAllFirsts(aState);
+}
+
+auto OwnReport(const ServingState& aState) -> wire::LoadReportT
+{
+  wire::LoadReportT report;
+  report.host = aState.mHost;
+  report.domain = aState.mDomain;
+  report.document = aState.mDocument ? aState.mDocument->mVersion : 0;
+  for (const auto& [service, pool] : aState.mPools) {
+    for (const auto& endpoint : pool.mEndpoints) {
+      if (endpoint->mOwn.mOnline + endpoint->mOwn.mBatch > 0) {
+        auto use = std::make_unique<wire::EndpointUseT>();
+        use->endpoint = endpoint->mHash;
+        use->online = endpoint->mOwn.mOnline;
+        use->batch = endpoint->mOwn.mBatch;
+        report.endpoints.push_back(std::move(use));
+      }
+    }
+    if (!pool.mLine.empty()) {
+      auto queue = std::make_unique<wire::ServiceQueueT>();
+      queue->service = StableHash(service);
+      queue->waiting = static_cast<std::uint32_t>(pool.mLine.size());
+      report.queues.push_back(std::move(queue));
+    }
+  }
+  for (const auto& [name, rate] : aState.mRates) {
+    if (rate.mAdmitted > 0) {
+      auto use = std::make_unique<wire::TeamUseT>();
+      use->team = StableHash(name);
+      use->admitted = rate.mAdmitted;
+      use->level = rate.mTokens;
+      report.teams.push_back(std::move(use));
+    }
+  }
+  return report;
+}
+
+auto UpdateSilence(ServingState& aState, TimePoint aNow) -> void
+{
+  std::vector<std::string> forgotten;
+  for (const auto& [host, peer] : aState.mFleet.mPeers) {
+    if (!peer.mSilent && peer.mHeardAt < aNow - kSilentAfter) {
+      LogEvent(Severity::Warn, "peer_silent", { { "peer", host } });
+      for (auto& [team, rate] : aState.mRates) {
+        ForgetPeer(rate, host);
+      }
+    }
+    if (peer.mHeardAt < aNow - kForgetAfter) {
+      forgotten.push_back(host);
+    }
+  }
+  MarkSilent(aState.mFleet, aNow - kSilentAfter);
+  for (const auto& host : forgotten) {
+    RemovePeer(aState.mFleet, host);
+  }
+  const auto share = ShareOfRates(aState);
+  for (auto& [team, rate] : aState.mRates) {
+    SetShare(rate, share, aNow);
+  }
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/serving/state.h
@@ -0,0 +1,146 @@
+// All soft state of a serving daemon: the configuration in force, the
+// endpoints with their health and load, the peers, the teams' rates, and the
+// requests that wait for an endpoint. It belongs to the event loop's thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mangovalve/base/random.h"
+#include "mangovalve/limits/fleet_rate.h"
+#include "mangovalve/loop/http_client.h"
+#include "mangovalve/loop/wakeup.h"
+#include "mangovalve/routing/health.h"
+#include "mangovalve/routing/placement.h"
+#include "mangovalve/serving/directory.h"
+#include "mangovalve/serving/document.h"
+#include "mangovalve/serving/fleet_load.h"
+#include "mangovalve/serving/protocol.h"
+
+namespace mangovalve {
+
+// One endpoint as this daemon sees it. Shared with the requests that are using
+// it, so that it outlives its registration.
+struct Endpoint
+{
+  Registration mRegistration;
+  std::uint64_t mHash = 0; // of the id, as in load reports
+  Health mHealth;
+  InFlight mOwn;
+  // Requests that the endpoint reported beyond those that the fleet's reports
+  // account for, and when it did; forgotten after a while.
+  double mUnseen = 0;
+  TimePoint mUnseenAt{};
+  bool mRemoved = false;
+};
+
+using EndpointPtr = std::shared_ptr<Endpoint>;
+
+// A request that waits for an endpoint, in order of priority, then arrival.
+struct Waiter
+{
+  int mPriority = 0;
+  std::uint64_t mNumber = 0;
+  Wakeup* mWakeup = nullptr;
+
+  auto operator<(const Waiter& aOther) const -> bool
+  {
+    return mPriority != aOther.mPriority ? mPriority < aOther.mPriority
+                                         : mNumber < aOther.mNumber;
+  }
+};
+
+struct ServicePool
+{
+  std::vector<EndpointPtr> mEndpoints;
+  std::set<Waiter> mLine;
+  double mMeanSeconds = 0; // of online requests at an endpoint; 0: unknown
+};
+
+struct ServingState
+{
+  explicit ServingState(asio::io_context& aLoop)
+    : mLoop(aLoop)
+    , mPool(aLoop)
+  {
+  }
+
+  asio::io_context& mLoop;
+  std::string mHost;   // this daemon's address for other daemons
+  std::string mDomain; // its failure domain
+  std::shared_ptr<const ServingDocument> mDocument; // null before the first
+  Directory mDirectory;
+  FleetLoad mFleet;
+  std::map<std::string, ServicePool> mPools; // by service
+  std::map<std::string, FleetRate> mRates;   // by team
+  ConnectionPool mPool;
+  Random mRandom;
+  std::uint64_t mNextWaiter = 0;
+  PlacementPolicy mPlacement;
+  HealthPolicy mHealth;
+};
+
+enum class Work
+{
+  Online,
+  Batch,
+};
+
+// Puts a document in force unless it is older than the one there is.
+auto PutInForce(ServingState& aState,
+                std::shared_ptr<const ServingDocument> aDocument) -> bool;
+
+// Makes the pools follow the directory.
+auto SyncPools(ServingState& aState, TimePoint aNow) -> void;
+
+// The pool's endpoints as candidates, in the same order.
+auto Candidates(const ServingState& aState,
+                const ServicePool& aPool,
+                TimePoint aNow) -> std::vector<PlacementCandidate>;
+
+// Counts a request at an endpoint while it lives.
+class EndpointUse
+{
+public:
+  EndpointUse(ServingState& aState, EndpointPtr aEndpoint, Work aWork);
+  ~EndpointUse();
+  EndpointUse(const EndpointUse&) = delete;
+  auto operator=(const EndpointUse&) -> EndpointUse& = delete;
+
+private:
+  auto Count() -> std::uint32_t&;
+
+  ServingState& mState;
+  EndpointPtr mEndpoint;
+  Work mWork;
+};
+
+// Wakes the first request that waits for the service.
+auto WakeFirst(ServicePool& aPool) -> void;
+auto WakeAllFirsts(ServingState& aState) -> void;
+
+auto NoteExchange(ServingState& aState,
+                  Endpoint& aEndpoint,
+                  ExchangeResult aResult) -> void;
+
+// Takes in the load that an endpoint reported with an answer.
+auto NoteReportedLoad(const ServingState& aState,
+                      Endpoint& aEndpoint,
+                      const ReportedLoad& aLoad) -> void;
+
+// Applies a peer's report to loads and rates; wakes requests that wait.
+auto TakeReport(ServingState& aState,
+                wire::LoadReportT aReport,
+                std::uint64_t aOwnIncarnation) -> void;
+
+// This daemon's own report, without its partitions.
+auto OwnReport(const ServingState& aState) -> wire::LoadReportT;
+
+// Marks peers silent and divides the rates by who is heard.
+auto UpdateSilence(ServingState& aState, TimePoint aNow) -> void;
+
+} // namespace mangovalve
--- a/mangovalve/telemetry/event_log.cc
+++ b/mangovalve/telemetry/event_log.cc
@@ -45,12 +45,13 @@
 
 } // namespace
 
-auto StartEventLog(const std::string& aLevel) -> void
+auto StartEventLog(const std::string& aLevel, LogTarget aTarget) -> void
 {
   auto layout = std::make_shared<log4cxx::PatternLayout>(
     "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n");
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
-  appender->setTarget("System.err");
+  appender->setTarget(aTarget == LogTarget::StandardOutput ? "System.out"
+                                                           : "System.err");
   log4cxx::helpers::Pool pool;
   appender->activateOptions(pool);
   auto& logger = ProcessLogger();
--- a/mangovalve/telemetry/event_log.h
+++ b/mangovalve/telemetry/event_log.h
@@ -21,9 +21,16 @@
 
 using Fields = std::vector<std::pair<std::string_view, std::string>>;
 
-// Sends log lines of the process to standard error, at aLevel and above.
-// aLevel is "debug", "info", "warn" or "error". Call once at start.
-auto StartEventLog(const std::string& aLevel) -> void;
+enum class LogTarget
+{
+  StandardError,
+  StandardOutput,
+};
+
+// Sends log lines of the process to aTarget, at aLevel and above. aLevel is
+// "debug", "info", "warn" or "error". Call once at start.
+auto StartEventLog(const std::string& aLevel,
+                   LogTarget aTarget = LogTarget::StandardError) -> void;
 
 // Formats the line "event=NAME key=value ...".
 auto FormatEvent(std::string_view aEvent, const Fields& aFields) -> std::string;
