--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -46,7 +46,8 @@
 auto JobPartition::Run() -> Task<>
 {
   const auto self = shared_from_this(); // lives until its last append
-  if (co_await Open()) {
+  const auto opened = co_await Open();
+  if (opened) {
     mLoaded = true;
     LogEvent(Severity::Info,
              "partition_owned",
@@ -84,11 +85,14 @@
 {
   // Without records, the append only sets the fence's token. After it no
   // former owner can write, so what is loaded next stays complete.
-  if (!co_await AppendUntilDurable({})) {
+  const std::vector<KeyedRecord> none;
+  const auto fenced = co_await AppendUntilDurable(none);
+  if (!fenced) {
     co_return false;
   }
   while (!mStopped) {
-    if (co_await LoadPages()) {
+    const auto loaded = co_await LoadPages();
+    if (loaded) {
       co_return true;
     }
     co_await SleepUntil(Clock::now() + kRetryPause);
@@ -122,12 +126,14 @@
 {
   const auto sequence = mSequence;
   while (!mStopped || !aRecords.empty()) {
-    const auto result = co_await mTables.mAppend(
-      Table::Jobs,
-      mPartition,
-      aRecords,
-      WriterFence{ kWriterName, mGeneration, sequence },
-      Clock::now() + kAnswerTimeout);
+    auto records = aRecords;
+    std::optional<WriterFence> fence(
+      WriterFence{ kWriterName, mGeneration, sequence });
+    const auto result = co_await mTables.mAppend(Table::Jobs,
+                                                 mPartition,
+                                                 std::move(records),
+                                                 std::move(fence),
+                                                 Clock::now() + kAnswerTimeout);
     const auto kind =
       result ? TableErrorKind::NotDone : result.error().mKind;
     NoteAnswer(result || kind == TableErrorKind::Fenced ||
@@ -187,7 +193,8 @@
     }
     std::vector<Write> writes;
     const auto records = TakeBatch(writes);
-    if (!co_await AppendUntilDurable(records)) {
+    const auto appended = co_await AppendUntilDurable(records);
+    if (!appended) {
       co_return;
     }
     for (const auto& write : writes) {
@@ -259,9 +266,8 @@
             [job] { job->mDurable = true; });
   }
   const std::shared_ptr<bool> durable(job, &job->mDurable);
-  co_return co_await WaitUntilDurable(durable, aDeadline)
-    ? JobOutcome::Done
-    : JobOutcome::Unknown;
+  const auto done = co_await WaitUntilDurable(durable, aDeadline);
+  co_return done ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
 auto JobPartition::End(BatchJobPtr aJob, TimePoint aDeadline)
@@ -271,8 +277,8 @@
   const auto durable = std::make_shared<bool>(false);
   Enqueue({ JobRecord(*aJob, mTables.mMaxRecordBytes) },
           [durable] { *durable = true; });
-  co_return co_await WaitUntilDurable(durable, aDeadline) ? JobOutcome::Done
-                                                          : JobOutcome::Unknown;
+  const auto done = co_await WaitUntilDurable(durable, aDeadline);
+  co_return done ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
 auto JobPartition::Finish(BatchJobPtr aJob,
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -175,7 +175,8 @@
 {
   mCallers.insert(aCaller);
   aCaller->mClosing = mClosing;
-  while (co_await ServeOne(aCaller)) {
+  for (auto open = true; open;) {
+    open = co_await ServeOne(aCaller);
   }
   mCallers.erase(aCaller);
   // A close with unread bytes would reset the connection and might take the
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -347,8 +347,9 @@
   if (mExchange.mBegun) {
     mExchange.mCaller->Abort();
   } else if (!mExchange.mCaller->Gone()) {
-    co_await mExchange.mCaller->Reply(
-      mProtocol.mRefuse(aRefusal, mExchange.mFacts.mId, aRetryAfter));
+    auto response =
+      mProtocol.mRefuse(aRefusal, mExchange.mFacts.mId, aRetryAfter);
+    co_await mExchange.mCaller->Reply(std::move(response));
   }
 }
 
@@ -463,7 +464,9 @@
              { { "id", mExchange.mFacts.mId },
                { "answers", facts.mId },
                { "endpoint", aEndpoint.mRegistration.mId } });
-    if (co_await ReadBody(aConnection, *aParser, FirstByteDeadline())) {
+    const auto cut =
+      co_await ReadBody(aConnection, *aParser, FirstByteDeadline());
+    if (cut) {
       break;
     }
   }
@@ -492,7 +495,9 @@
                  aEndpoint,
                  aFacts.mOtherEndpoint ? ExchangeResult::Leaving
                                        : ExchangeResult::Ignored);
-    if (co_await ReadBody(aConnection, aParser, FirstByteDeadline())) {
+    const auto cut =
+      co_await ReadBody(aConnection, aParser, FirstByteDeadline());
+    if (cut) {
       aConnection.mStream.close();
     }
     co_return Step::NotRun;
@@ -510,9 +515,10 @@
     NoteFailure(aEndpoint, absl::StrCat("resumption refused: ", status));
     co_return Step::Failed;
   }
-  co_return co_await(success && aFacts.mIsEventStream
-                       ? DeliverStream(aEndpoint, aConnection, aParser)
-                       : DeliverWhole(aEndpoint, aConnection, aParser));
+  if (success && aFacts.mIsEventStream) {
+    co_return co_await DeliverStream(aEndpoint, aConnection, aParser);
+  }
+  co_return co_await DeliverWhole(aEndpoint, aConnection, aParser);
 }
 
 auto Runner::DeliverWhole(Endpoint& aEndpoint,
@@ -568,7 +574,8 @@
   }
   NoteExchange(mState, aEndpoint, ExchangeResult::Good);
   if (!mExchange.mBegun) {
-    co_await SendToCaller("", aParser);
+    std::string nothing;
+    co_await SendToCaller(std::move(nothing), aParser);
   }
   co_await mExchange.mCaller->EndChunks();
   co_return Step::Done;
@@ -601,8 +608,9 @@
     co_return co_await mExchange.mCaller->SendChunk(std::move(aBytes));
   }
   mExchange.mBegun = true;
-  co_return co_await mExchange.mCaller->BeginChunks(
-    mProtocol.mCallerHead(aParser.get().base()), std::move(aBytes));
+  auto head = mProtocol.mCallerHead(aParser.get().base());
+  co_return co_await mExchange.mCaller->BeginChunks(std::move(head),
+                                                    std::move(aBytes));
 }
 
 } // namespace
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -216,7 +216,8 @@
 auto ServingDaemon::HandlePeer(CallerPtr aCaller,
                                std::shared_ptr<Request> aRequest) -> Task<>
 {
-  if (co_await mJobs.ServePeer(aCaller, aRequest)) {
+  const auto handled = co_await mJobs.ServePeer(aCaller, aRequest);
+  if (handled) {
     co_return;
   }
   Response response(http::status::ok, 11);
@@ -412,10 +413,11 @@
   }
 }
 
-auto ServingDaemon::WriteHostRecord(std::string aValue) -> Task<bool>
+auto ServingDaemon::WriteHostRecord(bool aPresent) -> Task<bool>
 {
   std::vector<KeyedRecord> records;
-  records.push_back({ mState.mHost, std::move(aValue), 0 });
+  records.push_back(
+    { mState.mHost, aPresent ? mSettings.mFailureDomain : "", 0 });
   const auto done = co_await mTables.mAppend(Table::Hosts,
                                              0,
                                              std::move(records),
@@ -427,7 +429,8 @@
 auto ServingDaemon::RegisterHost() -> Task<>
 {
   while (!mDraining) {
-    if (co_await WriteHostRecord(mSettings.mFailureDomain)) {
+    const auto done = co_await WriteHostRecord(true);
+    if (done) {
       co_return;
     }
     co_await SleepUntil(Clock::now() + kRegisterPause);
@@ -436,7 +439,8 @@
 
 auto ServingDaemon::UnregisterHost() -> Task<>
 {
-  if (!co_await WriteHostRecord("")) {
+  const auto done = co_await WriteHostRecord(false);
+  if (!done) {
     LogEvent(Severity::Warn, "unregister_failed");
   }
 }
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -62,8 +62,8 @@
   auto CopyState() const -> wire::StateCopyT;
   auto FetchState(std::string aPeer, bool aWhole) -> Task<>;
   auto BootstrapFromPeers() -> Task<>;
-  // An empty value drops the record.
-  auto WriteHostRecord(std::string aValue) -> Task<bool>;
+  // Writes or drops the record of this daemon.
+  auto WriteHostRecord(bool aPresent) -> Task<bool>;
   auto RegisterHost() -> Task<>;
   auto UnregisterHost() -> Task<>;
   auto KeepHouse() -> Task<>;
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -115,8 +115,12 @@
   Follower follower{ aPorts, aTable, aPolicy, std::move(aSinks), {}, true };
   for (;;) {
     const auto started = Clock::now();
-    const auto answered = co_await(follower.mFrom ? follower.Read()
-                                                  : follower.Load());
+    auto answered = false;
+    if (follower.mFrom) {
+      answered = co_await follower.Read();
+    } else {
+      answered = co_await follower.Load();
+    }
     follower.NoteAnswer(answered);
     if (!answered) {
       co_await SleepUntil(Clock::now() + kRetryPause);
