--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -20,7 +20,7 @@
 
 // Held, so that a change arrives at once; short, so that a silent connection
 // is noticed well within the bound for configurations.
-constexpr FollowPolicy kFollowDocument{ std::chrono::seconds(2), true };
+constexpr FollowPolicy kFollowDocument{ std::chrono::seconds(1), true };
 
 // Endpoints write so often that a held read would return at once each time.
 // Half a second leaves most of the 2 s within which a leaving endpoint must get
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -9,8 +9,10 @@
 namespace {
 
 // A read that is not held takes some milliseconds; a store that is slower than
-// this counts as away, and a silent connection is noticed.
-constexpr auto kAnswerTimeout = std::chrono::milliseconds(1500);
+// this counts as away, and a silent connection is noticed. Together with the
+// hold it must stay well below the bound for configurations, 2 s: a read that
+// was begun just before the end of a silent outage blocks the next one.
+constexpr auto kAnswerTimeout = std::chrono::milliseconds(700);
 
 // Pause after a failed read. Small against the bound for configurations, 2 s.
 constexpr auto kRetryPause = std::chrono::milliseconds(200);
