--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -39,16 +39,15 @@
 {
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
   asio::io_context loop(1);
-  ServingDaemon daemon(
-    loop,
-    aSettings,
-    platform::MakeProtocol(),
-    { platform::kConfigurationKey,
-      platform::ReadDocument,
-      platform::ReadRegistration },
-    [&aSettings](ConnectionPool& aPool) {
-      return platform::MakeTables(aPool, aSettings.mStore);
-    });
+  ServingDaemon daemon(loop,
+                       aSettings,
+                       platform::MakeProtocol(),
+                       { platform::kConfigurationKey,
+                         platform::ReadDocument,
+                         platform::ReadRegistration },
+                       [&aSettings](ConnectionPool& aPool) {
+                         return platform::MakeTables(aPool, aSettings.mStore);
+                       });
   const auto started = daemon.Start();
   if (!started) {
     LogEvent(
@@ -65,7 +64,8 @@
 {
   const auto path = SettingsPath();
   if (path.empty()) {
-    absl::FPrintF(stderr, "mangovalved_platform: --settings FILE is required\n");
+    absl::FPrintF(stderr,
+                  "mangovalved_platform: --settings FILE is required\n");
     return kBadUsage;
   }
   const auto settings = ReadServingSettings(path);
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -149,9 +149,10 @@
   if (items.empty()) {
     return;
   }
-  std::sort(items.begin(), items.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.first.mDue < aRight.first.mDue;
-  });
+  std::sort(
+    items.begin(), items.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first.mDue < aRight.first.mDue;
+    });
   // Owners see the same free slots at the same time, so each takes its part.
   const auto spare =
     SpareForBatch(Candidates(mState, aPool, aNow), mState.mPlacement);
@@ -259,14 +260,14 @@
   dispatch.mEndpointId = endpoint.mRegistration.mId;
   dispatch.mTeam = aRun->mItem.mJob->mTeam;
   dispatch.mResumeAfter = item.mLastEvent;
-  const auto request = mProtocol.mItemRequest(
-    aRun->mItem.mJob->mHost, item.mSubmitted, dispatch);
+  const auto request =
+    mProtocol.mItemRequest(aRun->mItem.mJob->mHost, item.mSubmitted, dispatch);
   auto error = co_await SendRequest(
     **connection, request, Clock::now() + mPolicy.mSilence);
   ResponseParser parser;
   if (!error) {
-    error = co_await ReadHead(
-      **connection, parser, Clock::now() + mPolicy.mSilence);
+    error =
+      co_await ReadHead(**connection, parser, Clock::now() + mPolicy.mSilence);
   }
   auto end = End::Interrupted;
   if (error) {
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -134,8 +134,7 @@
                                                  std::move(records),
                                                  std::move(fence),
                                                  Clock::now() + kAnswerTimeout);
-    const auto kind =
-      result ? TableErrorKind::NotDone : result.error().mKind;
+    const auto kind = result ? TableErrorKind::NotDone : result.error().mKind;
     NoteAnswer(result || kind == TableErrorKind::Fenced ||
                kind == TableErrorKind::Sequence);
     if (result) {
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -66,8 +66,9 @@
   auto Drop(BatchJobPtr aJob) -> void;
 
   // Returns when the job may have a result at the position, or at aUntil.
-  auto WaitForResult(BatchJobPtr aJob, std::uint32_t aPosition, TimePoint aUntil)
-    -> Task<>;
+  auto WaitForResult(BatchJobPtr aJob,
+                     std::uint32_t aPosition,
+                     TimePoint aUntil) -> Task<>;
 
 private:
   // Records that are appended together, and who waits for them.
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -22,8 +22,9 @@
                                                     "/jobs/end" };
 
 // Statuses between daemons, by outcome.
-constexpr std::array<unsigned, 6> kPeerStatuses = { 200, 404, 429,
-                                                    503, 504, 421 };
+constexpr std::array<unsigned, 6> kPeerStatuses = {
+  200, 404, 429, 503, 504, 421
+};
 
 // Bytes of results in one answer; callers take 1 MB at most.
 constexpr std::size_t kPageBytes = 900 * 1024;
@@ -83,10 +84,10 @@
   : mState(aState)
   , mProtocol(aProtocol)
   , mTables(aTables)
-  , mRunner(aState,
-            aProtocol,
-            { [this] { return RunnablePartitions(); },
-              [this] { return Owners(); } })
+  , mRunner(
+      aState,
+      aProtocol,
+      { [this] { return RunnablePartitions(); }, [this] { return Owners(); } })
 {
 }
 
@@ -122,8 +123,7 @@
     mState.mFleet.mPeers.empty() || heard >= mState.mFleet.mPeers.size();
   for (const auto& [number, partition] : mPartitions) {
     const auto claim = OwnerOf(mState.mFleet, number);
-    const auto claimed =
-      claim && claim->mGeneration > partition->Generation();
+    const auto claimed = claim && claim->mGeneration > partition->Generation();
     if (partition->Active() && (leased || (connected && !claimed))) {
       partitions.push_back(partition);
     }
@@ -225,8 +225,8 @@
     partition->Stop();
   }
   mPartitions.clear();
-  const auto left = co_await mTables.mLeave(
-    mState.mHost, Clock::now() + mPolicy.mCallTimeout);
+  const auto left =
+    co_await mTables.mLeave(mState.mHost, Clock::now() + mPolicy.mCallTimeout);
   if (!left) {
     LogEvent(Severity::Warn, "group_leave_failed");
   }
@@ -253,9 +253,9 @@
     } else {
       reply.mOutcome = JobOutcome::NotOwner;
     }
-    const auto again = reply.mOutcome == JobOutcome::NotOwner ||
-                       (reply.mOutcome == JobOutcome::Unknown &&
-                        MayAskTwice(aQuestion.mVerb));
+    const auto again =
+      reply.mOutcome == JobOutcome::NotOwner ||
+      (reply.mOutcome == JobOutcome::Unknown && MayAskTwice(aQuestion.mVerb));
     if (!again || Clock::now() >= giveUpAt) {
       break;
     }
@@ -326,8 +326,8 @@
   aJob.submitted_ms = WallNow().time_since_epoch().count();
   const auto id = aJob.id;
   auto job = MakeJob(std::move(aJob));
-  const auto queued = QueuedTokens(
-    aPartition->Jobs(), *document, job->mTeam, route->mName);
+  const auto queued =
+    QueuedTokens(aPartition->Jobs(), *document, job->mTeam, route->mName);
   const auto limit = route->mMaxQueuedTokens;
   reply.mOutcome = co_await aPartition->Submit(
     std::move(job), queued, limit, Clock::now() + mPolicy.mCallTimeout);
@@ -338,8 +338,7 @@
              { "partition", absl::StrCat(aPartition->Number()) },
              { "queued_tokens", absl::StrCat(queued) },
              { "limit", absl::StrCat(limit) },
-             { "outcome",
-               absl::StrCat(static_cast<int>(reply.mOutcome)) } });
+             { "outcome", absl::StrCat(static_cast<int>(reply.mOutcome)) } });
   co_return reply;
 }
 
@@ -397,8 +396,7 @@
              "job_call",
              { { "job", aCall.mJob },
                { "verb", absl::StrCat(static_cast<int>(aCall.mVerb)) },
-               { "outcome",
-                 absl::StrCat(static_cast<int>(reply.mOutcome)) } });
+               { "outcome", absl::StrCat(static_cast<int>(reply.mOutcome)) } });
   }
   co_await aCaller->Reply(mProtocol.mJobAnswer(aCall.mVerb, reply, aId));
 }
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -68,7 +68,7 @@
   {
     JobVerb mVerb = JobVerb::Results;
     std::string mTeam;
-    wire::JobT mJob;       // Submit
+    wire::JobT mJob;        // Submit
     wire::JobQueryT mQuery; // the others
   };
 
@@ -79,8 +79,7 @@
   auto Ask(Question aQuestion) -> Task<JobReply>;
   auto AskPeer(const std::string& aHost, const Question& aQuestion)
     -> Task<JobReply>;
-  auto Answer(JobPartitionPtr aPartition, Question aQuestion)
-    -> Task<JobReply>;
+  auto Answer(JobPartitionPtr aPartition, Question aQuestion) -> Task<JobReply>;
   auto AnswerSubmit(JobPartitionPtr aPartition, wire::JobT aJob)
     -> Task<JobReply>;
   auto AnswerQuery(JobPartitionPtr aPartition,
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -277,10 +277,9 @@
       entry->headers.push_back(std::make_unique<wire::HeaderFieldT>(*header));
     }
     entry->tokens = item.mSubmitted.tokens;
-    entry->body_pieces =
-      std::max(item.mSubmitted.body_pieces,
-               Pieces(item.mSubmitted.body.size(),
-                      aMaxRecord - kRecordOverhead));
+    entry->body_pieces = std::max(
+      item.mSubmitted.body_pieces,
+      Pieces(item.mSubmitted.body.size(), aMaxRecord - kRecordOverhead));
     record.items.push_back(std::move(entry));
   }
   return { absl::StrCat("j/", JobKeyText(aJob)),
@@ -320,10 +319,9 @@
   record.item = aResult.mItem;
   record.completed = aResult.mCompleted;
   const auto& output = aResult.mOutput;
-  record.output.assign(
-    output.begin(),
-    output.begin() +
-      static_cast<std::ptrdiff_t>(std::min(piece, output.size())));
+  record.output.assign(output.begin(),
+                       output.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(piece, output.size())));
   record.output_pieces =
     output.size() > piece ? Pieces(output.size() - piece, piece) : 0;
   std::vector<KeyedRecord> records;
@@ -331,9 +329,8 @@
     records.push_back(
       { ResultKey(key, aPosition, i), output.substr(i * piece, piece), 0 });
   }
-  records.push_back({ ResultKey(key, aPosition, 0),
-                      PackTable<wire::ResultRecord>(record),
-                      0 });
+  records.push_back(
+    { ResultKey(key, aPosition, 0), PackTable<wire::ResultRecord>(record), 0 });
   const auto& item = aJob.mItems[aResult.mItem].mSubmitted;
   const auto bodies =
     std::max(item.body_pieces, Pieces(item.body.size(), piece));
@@ -348,8 +345,7 @@
 {
   std::vector<KeyedRecord> records{ JobRecord(aJob, aMaxRecord) };
   for (std::uint32_t i = 0; i < aJob.mResults.size(); ++i) {
-    for (auto& record :
-         ResultRecords(aJob, i, aJob.mResults[i], aMaxRecord)) {
+    for (auto& record : ResultRecords(aJob, i, aJob.mResults[i], aMaxRecord)) {
       records.push_back(std::move(record));
     }
   }
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -25,9 +25,9 @@
 {
   wire::JobItemT mSubmitted;
   bool mRunning = false;
-  bool mFinished = false;       // its result is listed or about to be
-  std::uint32_t mFailures = 0;  // runs that the endpoint answered as failed
-  TimePoint mNotBefore{};       // earliest next run
+  bool mFinished = false;      // its result is listed or about to be
+  std::uint32_t mFailures = 0; // runs that the endpoint answered as failed
+  TimePoint mNotBefore{};      // earliest next run
   // What an interrupted run has brought so far.
   std::string mOutput;
   std::optional<std::uint64_t> mLastEvent;
--- /dev/null
+++ b/mangovalve/batch/job_table_test.cc
@@ -0,0 +1,228 @@
+// Tests of the job table and its records.
+#include "mangovalve/batch/job_table.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/base/random.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaxRecord = 8192;
+constexpr WallTime kSubmitted{ seconds(1000) };
+constexpr TimePoint kNow{ std::chrono::hours(1) };
+
+auto Document() -> ServingDocument
+{
+  ServingDocument document;
+  ServingRoute route;
+  route.mName = "batch";
+  route.mHost = "h";
+  route.mPathPrefix = "/b/";
+  route.mKind = RouteKind::Batch;
+  route.mServices = { { "llm", 1 } };
+  route.mDue = seconds(18);
+  route.mAbandonAfter = seconds(60);
+  document.mRoutes.push_back(route);
+  return document;
+}
+
+auto Submission(const std::string& aId, std::size_t aItems) -> BatchJobPtr
+{
+  wire::JobT job;
+  job.team = "team";
+  job.id = aId;
+  job.host = "h";
+  job.path = "/b/x";
+  job.submitted_ms = kSubmitted.time_since_epoch().count();
+  for (std::size_t i = 0; i < aItems; ++i) {
+    auto item = std::make_unique<wire::JobItemT>();
+    item->id = aId + "-" + std::to_string(i);
+    item->path = "/b/" + std::to_string(i);
+    item->tokens = 100;
+    // The bodies differ in size, some span several records.
+    item->body.assign(i * 7000, static_cast<std::uint8_t>('a' + i));
+    auto header = std::make_unique<wire::HeaderFieldT>();
+    header->name = "Model";
+    header->value = "m";
+    item->headers.push_back(std::move(header));
+    job.items.push_back(std::move(item));
+  }
+  return MakeJob(std::move(job));
+}
+
+// The newest record of each key, as the store keeps them.
+struct Newest
+{
+  std::map<std::string, std::string> mValues;
+
+  auto Put(const std::vector<KeyedRecord>& aRecords) -> void
+  {
+    for (const auto& record : aRecords) {
+      REQUIRE(record.mKey.size() + record.mValue.size() < kMaxRecord);
+      if (record.mValue.empty()) {
+        mValues.erase(record.mKey);
+      } else {
+        mValues[record.mKey] = record.mValue;
+      }
+    }
+  }
+
+  auto Load() const -> JobTable
+  {
+    std::vector<KeyedRecord> records;
+    for (const auto& [key, value] : mValues) {
+      records.push_back({ key, value, 0 });
+    }
+    return LoadJobs(records);
+  }
+};
+
+TEST_CASE("a job comes back whole from its records")
+{
+  Newest store;
+  const auto job = Submission("j1", 4);
+  store.Put(JobRecords(*job, kMaxRecord));
+  auto table = store.Load();
+  const auto loaded = FindJob(table, "team", "j1");
+  REQUIRE(loaded);
+  CHECK(loaded->mDurable);
+  CHECK(loaded->mSubmittedAt == kSubmitted);
+  REQUIRE(loaded->mItems.size() == 4);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(loaded->mItems[i].mSubmitted.body == job->mItems[i].mSubmitted.body);
+    CHECK(loaded->mItems[i].mSubmitted.headers[0]->value == "m");
+  }
+}
+
+TEST_CASE("a job whose last record is missing was never accepted")
+{
+  // Guards against items that run although the submission was cut short.
+  Newest store;
+  auto records = JobRecords(*Submission("j1", 3), kMaxRecord);
+  records.pop_back();
+  store.Put(records);
+  CHECK(store.Load().mJobs.empty());
+}
+
+TEST_CASE("results keep position and content, large ones too")
+{
+  Newest store;
+  const auto job = Submission("j1", 3);
+  store.Put(JobRecords(*job, kMaxRecord));
+  const std::string large(30000, 'z');
+  store.Put(ResultRecords(*job, 0, { 2, true, large }, kMaxRecord));
+  store.Put(ResultRecords(*job, 1, { 0, false, "" }, kMaxRecord));
+  const auto loaded = FindJob(store.Load(), "team", "j1");
+  REQUIRE(loaded->mResults.size() == 2);
+  CHECK(loaded->mResults[0].mOutput == large);
+  CHECK(loaded->mResults[0].mItem == 2);
+  CHECK_FALSE(loaded->mResults[1].mCompleted);
+  CHECK(loaded->mNextPosition == 2);
+  CHECK(loaded->mItems[2].mFinished);
+  CHECK_FALSE(loaded->mItems[1].mFinished);
+  // The bodies of finished items are gone, the others are there.
+  CHECK(loaded->mItems[2].mSubmitted.body.empty());
+  CHECK(loaded->mItems[1].mSubmitted.body.size() == 7000);
+}
+
+TEST_CASE("dropping a job leaves no record behind")
+{
+  Newest store;
+  const auto job = Submission("j1", 3);
+  store.Put(JobRecords(*job, kMaxRecord));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    store.Put(ResultRecords(*job, i, { i, true, "x" }, kMaxRecord));
+  }
+  store.Put(DropRecords(*FindJob(store.Load(), "team", "j1"), kMaxRecord));
+  CHECK(store.mValues.empty());
+}
+
+TEST_CASE("unreadable records harm no other job")
+{
+  Newest store;
+  store.Put(JobRecords(*Submission("good", 1), kMaxRecord));
+  store.mValues["j/0000/bad"] = "garbage";
+  store.mValues["nonsense"] = "garbage";
+  CHECK(store.Load().mJobs.size() == 1);
+}
+
+TEST_CASE("queued tokens count what is neither finished nor ended")
+{
+  JobTable table;
+  const auto document = Document();
+  const auto first = Submission("j1", 3);
+  const auto second = Submission("j2", 2);
+  table.mJobs[{ "team", "j1" }] = first;
+  table.mJobs[{ "team", "j2" }] = second;
+  CHECK(QueuedTokens(table, document, "team", "batch") == 500);
+  first->mItems[0].mFinished = true;
+  CHECK(QueuedTokens(table, document, "team", "batch") == 400);
+  second->mEnded = true;
+  CHECK(QueuedTokens(table, document, "team", "batch") == 200);
+  CHECK(QueuedTokens(table, document, "other", "batch") == 0);
+  CHECK(QueuedTokens(table, document, "team", "other") == 0);
+}
+
+TEST_CASE("only durable, open, idle items run, the earliest due first")
+{
+  JobTable table;
+  const auto document = Document();
+  const auto late = Submission("late", 2);
+  late->mSubmittedAt += seconds(5);
+  late->mDurable = true;
+  const auto early = Submission("early", 2);
+  early->mDurable = true;
+  early->mItems[0].mRunning = true;
+  const auto pending = Submission("pending", 2);
+  const auto ended = Submission("ended", 2);
+  ended->mDurable = true;
+  ended->mEnded = true;
+  for (const auto& job : { late, early, pending, ended }) {
+    table.mJobs[{ job->mTeam, job->mId }] = job;
+  }
+  const auto items = RunnableItems(table, document, "llm", 10, kNow);
+  REQUIRE(items.size() == 3);
+  CHECK(items[0].mJob == early);
+  CHECK(items[0].mDue == kSubmitted + seconds(18));
+  CHECK(RunnableItems(table, document, "llm", 1, kNow).size() == 1);
+  CHECK(RunnableItems(table, document, "other", 10, kNow).empty());
+  early->mItems[1].mNotBefore = kNow + seconds(1);
+  CHECK(RunnableItems(table, document, "llm", 10, kNow).size() == 2);
+}
+
+TEST_CASE("items are given up only past their time or without their route")
+{
+  JobTable table;
+  auto document = Document();
+  const auto job = Submission("j", 2);
+  job->mDurable = true;
+  job->mItems[0].mFinished = true;
+  table.mJobs[{ "team", "j" }] = job;
+  CHECK(AbandonedItems(table, document, kSubmitted + seconds(60)).empty());
+  CHECK(AbandonedItems(table, document, kSubmitted + seconds(61)).size() == 1);
+  document.mRoutes.clear();
+  CHECK(AbandonedItems(table, document, kSubmitted).size() == 1);
+}
+
+TEST_CASE("pages hold at least one result and go on where they ended")
+{
+  const auto job = Submission("j", 3);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    job->mResults.push_back({ i, true, std::string(100, 'x') });
+  }
+  const auto first = PageOf(*job, 0, 10);
+  CHECK(first.total == 3);
+  CHECK(first.results.size() == 1);
+  CHECK(first.next == 1);
+  CHECK(PageOf(*job, 1, 1000).results.size() == 2);
+  CHECK(PageOf(*job, 7, 1000).next == 7);
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/limits/fleet_rate.cc
+++ b/mangovalve/limits/fleet_rate.cc
@@ -19,8 +19,10 @@
 
 } // namespace
 
-auto SetLimits(FleetRate& aRate, double aPerSecond, double aBurst, TimePoint aNow)
-  -> void
+auto SetLimits(FleetRate& aRate,
+               double aPerSecond,
+               double aBurst,
+               TimePoint aNow) -> void
 {
   const auto fresh = aRate.mRate <= 0;
   // A burst below one request would admit nothing at all.
--- a/mangovalve/limits/fleet_rate.h
+++ b/mangovalve/limits/fleet_rate.h
@@ -26,10 +26,10 @@
 
 struct FleetRate
 {
-  double mRate = 0;      // requests per second; 0: no limit
-  double mBurst = 0;     // requests
-  double mTokens = 0;    // at most mBurst; negative after an overdraft
-  double mShare = 1;     // part of the rate for this side of a cut, in (0, 1]
+  double mRate = 0;   // requests per second; 0: no limit
+  double mBurst = 0;  // requests
+  double mTokens = 0; // at most mBurst; negative after an overdraft
+  double mShare = 1;  // part of the rate for this side of a cut, in (0, 1]
   TimePoint mAccruedAt{};
   std::uint64_t mAdmitted = 0; // by this daemon since its start, less refunds
   absl::flat_hash_map<std::string, PeerAdmissions> mPeers; // by host
@@ -37,8 +37,10 @@
 
 // Sets the limits. A bucket that had none starts full; a lower burst cuts the
 // tokens at once.
-auto SetLimits(FleetRate& aRate, double aPerSecond, double aBurst, TimePoint aNow)
-  -> void;
+auto SetLimits(FleetRate& aRate,
+               double aPerSecond,
+               double aBurst,
+               TimePoint aNow) -> void;
 
 // Sets the part of the rate that this side of the fleet may use from now on.
 auto SetShare(FleetRate& aRate, double aShare, TimePoint aNow) -> void;
--- /dev/null
+++ b/mangovalve/limits/fleet_rate_test.cc
@@ -0,0 +1,211 @@
+// Tests of the fleet-wide rate.
+#include "mangovalve/limits/fleet_rate.h"
+
+#include <deque>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/base/random.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+auto Limited(double aRate, double aBurst) -> FleetRate
+{
+  FleetRate rate;
+  SetLimits(rate, aRate, aBurst, kStart);
+  return rate;
+}
+
+TEST_CASE("a team without a limit is always admitted")
+{
+  FleetRate rate;
+  for (int i = 0; i < 1000; ++i) {
+    CHECK(Admit(rate, kStart));
+  }
+}
+
+TEST_CASE("one host admits the burst, then the rate")
+{
+  auto rate = Limited(10, 5);
+  auto admitted = 0;
+  for (int ms = 0; ms <= 1000; ++ms) {
+    admitted += Admit(rate, kStart + milliseconds(ms)) ? 1 : 0;
+  }
+  CHECK(admitted == 15);
+}
+
+TEST_CASE("the next token is due when it is admitted")
+{
+  auto rate = Limited(4, 1);
+  CHECK(Admit(rate, kStart));
+  CHECK_FALSE(Admit(rate, kStart));
+  const auto due = NextTokenAt(rate, kStart);
+  CHECK_FALSE(Admit(rate, due - milliseconds(2)));
+  CHECK(Admit(rate, due + milliseconds(1)));
+}
+
+TEST_CASE("a refund gives the token back here and at the peers")
+{
+  auto rate = Limited(1, 1);
+  CHECK(Admit(rate, kStart));
+  Refund(rate);
+  CHECK(rate.mAdmitted == 0);
+  CHECK(Admit(rate, kStart));
+
+  auto peer = Limited(1, 2);
+  NotePeer(peer, "a", 1, 2, true, kStart);
+  CHECK_FALSE(Admit(peer, kStart));
+  NotePeer(peer, "a", 1, 1, true, kStart);
+  CHECK(Admit(peer, kStart));
+}
+
+TEST_CASE("a peer's restart counts from zero, its first report sets the base")
+{
+  auto rate = Limited(1, 100);
+  NotePeer(rate, "a", 1, 1000, false, kStart);
+  CHECK(rate.mTokens == doctest::Approx(100));
+  NotePeer(rate, "a", 1, 1010, false, kStart);
+  CHECK(rate.mTokens == doctest::Approx(90));
+  NotePeer(rate, "a", 2, 3, true, kStart);
+  CHECK(rate.mTokens == doctest::Approx(87));
+}
+
+TEST_CASE("a peer back from silence is not charged for its own share")
+{
+  // Guards against a team that is refused for seconds after a cut has healed,
+  // because both sides charge each other for what each was entitled to.
+  auto rate = Limited(10, 10);
+  NotePeer(rate, "a", 1, 50, false, kStart);
+  ForgetPeer(rate, "a");
+  NotePeer(rate, "a", 1, 500, false, kStart);
+  CHECK(rate.mTokens == doctest::Approx(10));
+}
+
+TEST_CASE("a lower burst cuts the tokens at once, a new limit starts full")
+{
+  auto rate = Limited(10, 50);
+  SetLimits(rate, 10, 3, kStart);
+  CHECK(rate.mTokens == doctest::Approx(3));
+  SetLimits(rate, 10, 50, kStart);
+  CHECK(rate.mTokens == doctest::Approx(3));
+}
+
+// A fleet whose hosts hear each other's counts some time later.
+struct Fleet
+{
+  std::vector<FleetRate> mHosts;
+  struct Report
+  {
+    TimePoint mAt;
+    std::size_t mFrom;
+    std::uint64_t mAdmitted;
+  };
+  std::deque<Report> mReports;
+  std::vector<bool> mSide; // of a cut, by host
+  bool mCut = false;
+
+  auto Deliver(TimePoint aNow) -> void
+  {
+    while (!mReports.empty() && mReports.front().mAt <= aNow) {
+      const auto report = mReports.front();
+      mReports.pop_front();
+      for (std::size_t i = 0; i < mHosts.size(); ++i) {
+        if (i != report.mFrom && (!mCut || mSide[i] == mSide[report.mFrom])) {
+          NotePeer(mHosts[i],
+                   std::to_string(report.mFrom),
+                   1,
+                   report.mAdmitted,
+                   true,
+                   aNow);
+        }
+      }
+    }
+  }
+
+  auto SendReports(TimePoint aAt) -> void
+  {
+    for (std::size_t i = 0; i < mHosts.size(); ++i) {
+      mReports.push_back({ aAt, i, mHosts[i].mAdmitted });
+    }
+  }
+};
+
+// Most admissions in any window of five seconds, from admission times.
+auto WorstWindow(const std::vector<TimePoint>& aTimes) -> std::size_t
+{
+  std::size_t worst = 0;
+  std::size_t begin = 0;
+  for (std::size_t end = 0; end < aTimes.size(); ++end) {
+    while (aTimes[end] - aTimes[begin] >= std::chrono::seconds(5)) {
+      ++begin;
+    }
+    worst = std::max(worst, end - begin + 1);
+  }
+  return worst;
+}
+
+auto PlayOverload(std::uint64_t aSeed, bool aWithCut) -> std::vector<TimePoint>
+{
+  constexpr std::size_t kHosts = 11;
+  constexpr double kRate = 60;
+  Random random{ aSeed };
+  Fleet fleet;
+  fleet.mHosts.assign(kHosts, Limited(kRate, kRate));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    fleet.mSide.push_back(i < 4);
+  }
+  std::vector<TimePoint> admitted;
+  for (int ms = 0; ms < 15000; ++ms) {
+    const auto now = kStart + milliseconds(ms);
+    if (aWithCut && ms == 5000) {
+      fleet.mCut = true;
+    }
+    // Silence is noticed 1.5 s after the cut.
+    if (aWithCut && ms == 6500) {
+      for (std::size_t i = 0; i < kHosts; ++i) {
+        SetShare(fleet.mHosts[i], fleet.mSide[i] ? 4.0 / 11 : 7.0 / 11, now);
+      }
+    }
+    fleet.Deliver(now);
+    if (ms % 60 == 0) {
+      fleet.SendReports(now + milliseconds(2));
+    }
+    // Five times the rate, most of it through few hosts.
+    if (Uniform(random) < 5 * kRate / 1000) {
+      const auto host = Below(random, 1 + Below(random, kHosts));
+      if (Admit(fleet.mHosts[host], now)) {
+        admitted.push_back(now);
+      }
+    }
+  }
+  return admitted;
+}
+
+TEST_CASE("a team at five times its rate stays within the allotment")
+{
+  // The platform's bound: (rate x window + burst) x 1.1 + 20.
+  constexpr double kBound = (60 * 5 + 60) * 1.1 + 20;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto admitted = PlayOverload(seed, false);
+    CHECK(static_cast<double>(WorstWindow(admitted)) <= kBound);
+    // And it gets what it is entitled to, less 3 percent.
+    CHECK(static_cast<double>(admitted.size()) >= 0.97 * (60 * 15));
+  }
+}
+
+TEST_CASE("a cut in two does not double a team's rate")
+{
+  constexpr double kBound = (60 * 5 + 60) * 1.1 + 20;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CHECK(static_cast<double>(WorstWindow(PlayOverload(seed, true))) <= kBound);
+  }
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -52,8 +52,8 @@
 // The idle timeout of a Keep-Alive header "timeout=N, max=M", in seconds.
 auto KeepAliveTimeout(std::string_view aValue) -> std::optional<int>
 {
-  for (auto part : absl::StrSplit(absl::string_view(aValue.data(), aValue.size()),
-                                  ',')) {
+  for (auto part :
+       absl::StrSplit(absl::string_view(aValue.data(), aValue.size()), ',')) {
     part = absl::StripAsciiWhitespace(part);
     int seconds = 0;
     if (absl::ConsumePrefix(&part, "timeout=") &&
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -85,8 +85,7 @@
 // was the end. An answer that was cut short is an error.
 auto ReadSomeBody(ClientConnection& aConnection,
                   ResponseParser& aParser,
-                  TimePoint aDeadline)
-  -> Task<Result<std::string, ErrorCode>>;
+                  TimePoint aDeadline) -> Task<Result<std::string, ErrorCode>>;
 
 // Reads the rest of the body, up to the parser's limit.
 auto ReadBody(ClientConnection& aConnection,
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -58,6 +58,13 @@
   mStream.socket().set_option(Tcp::no_delay(true), ignored);
 }
 
+auto Caller::RemoteIp() const -> std::string
+{
+  ErrorCode error;
+  const auto remote = mStream.socket().remote_endpoint(error);
+  return error ? std::string() : remote.address().to_string();
+}
+
 auto Caller::Write(std::string aBytes) -> Task<bool>
 {
   mStream.expires_at(Clock::now() + kWriteTimeout);
@@ -207,8 +214,7 @@
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
   stream.expires_at(Clock::now() + limits.mHeaderTimeout);
-  co_await http::async_read_header(
-    stream, caller.mBuffer, parser, Into(error));
+  co_await http::async_read_header(stream, caller.mBuffer, parser, Into(error));
   if (!error && !parser.is_done()) {
     if (parser.get()[http::field::expect] == "100-continue") {
       co_await caller.Write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -43,6 +43,9 @@
   // Closes the connection so that the answer does not look complete.
   auto Abort() -> void;
 
+  // IP of the other side; empty when it can't be told any more.
+  auto RemoteIp() const -> std::string;
+
   // Whether the caller has closed its connection.
   auto Gone() const -> bool { return mGone; }
 
--- /dev/null
+++ b/mangovalve/online/event_stream_test.cc
@@ -0,0 +1,66 @@
+// Tests of the event splitter.
+#include "mangovalve/online/event_stream.h"
+
+#include <doctest/doctest.h>
+
+namespace mangovalve {
+namespace {
+
+TEST_CASE("events are the same however the bytes are cut")
+{
+  // Exhaustive over all ways to cut the stream in three.
+  const std::string text =
+    "id: 1\ndata: a\n\nid:2\r\ndata:b\r\n\r\ndata: c\n\n";
+  for (std::size_t i = 0; i <= text.size(); ++i) {
+    for (auto j = i; j <= text.size(); ++j) {
+      EventSplitter splitter;
+      std::vector<StreamEvent> events;
+      for (const auto& part :
+           { text.substr(0, i), text.substr(i, j - i), text.substr(j) }) {
+        for (auto& event : SplitEvents(splitter, part)) {
+          events.push_back(std::move(event));
+        }
+      }
+      REQUIRE(events.size() == 3);
+      CHECK(events[0].mId == 1);
+      CHECK(events[1].mId == 2);
+      CHECK_FALSE(events[2].mId.has_value());
+      CHECK(EventData(events[1]) == "b");
+      CHECK(events[0].mText + events[1].mText + events[2].mText == text);
+      CHECK(splitter.mPartial.empty());
+    }
+  }
+}
+
+TEST_CASE("half an event is kept back")
+{
+  // Guards against an event that is delivered in part and again as a whole
+  // after a resumption.
+  EventSplitter splitter;
+  CHECK(SplitEvents(splitter, "id: 4\ndata: ha").empty());
+  CHECK_FALSE(splitter.mPartial.empty());
+}
+
+TEST_CASE("data lines are joined, other lines are left out")
+{
+  EventSplitter splitter;
+  const auto events =
+    SplitEvents(splitter, "weight-versions: 3\nid: 1\ndata: x\ndata: y\n\n");
+  REQUIRE(events.size() == 1);
+  CHECK(EventData(events[0]) == "x\ny");
+  CHECK(events[0].mId == 1);
+}
+
+TEST_CASE("an event follows, repeats or leaves a gap")
+{
+  const StreamEvent third{ "", 3 };
+  CHECK(OrderOf(third, std::nullopt) == EventOrder::Next);
+  CHECK(OrderOf(third, 2) == EventOrder::Next);
+  CHECK(OrderOf(third, 3) == EventOrder::Repeated);
+  CHECK(OrderOf(third, 7) == EventOrder::Repeated);
+  CHECK(OrderOf(third, 1) == EventOrder::Gap);
+  CHECK(OrderOf(StreamEvent{}, 5) == EventOrder::Next);
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -51,8 +51,8 @@
   std::string mService;
   int mPriority = 0;
   TimePoint mDeadline;
-  std::uint32_t mAttempts = 0; // endpoints that may have run it
-  std::uint32_t mRefusals = 0; // endpoints that did not run it
+  std::uint32_t mAttempts = 0;     // endpoints that may have run it
+  std::uint32_t mRefusals = 0;     // endpoints that did not run it
   std::vector<std::string> mTried; // ids of endpoints that failed or refused
   bool mBegun = false;             // the caller has the head of the answer
   std::optional<std::uint64_t> mLastEvent; // that the caller has
@@ -252,8 +252,7 @@
     aPool, Waiter{ mExchange.mPriority, mState.mNextWaiter++, &wakeup });
   mExchange.mCaller->mOnGone = [&wakeup] { wakeup.Give(); };
   EndpointPtr endpoint;
-  while (!endpoint && Clock::now() < aGiveUpAt &&
-         !mExchange.mCaller->Gone()) {
+  while (!endpoint && Clock::now() < aGiveUpAt && !mExchange.mCaller->Gone()) {
     co_await wakeup.WaitUntil(aGiveUpAt);
     if (place.IsFirst()) {
       endpoint = TryPlace(aPool);
@@ -321,7 +320,7 @@
     if (!again) {
       const auto notRun = mExchange.mAttempts == 0;
       const auto late = Clock::now() >= mExchange.mDeadline;
-      co_await Finish(notRun  ? Refusal::Overloaded
+      co_await Finish(notRun ? Refusal::Overloaded
                       : late ? Refusal::TimedOut
                              : Refusal::EndpointFailed,
                       kDefaultRetryAfter);
@@ -357,8 +356,8 @@
 {
   const EndpointUse use(mState, aEndpoint, Work::Online);
   const auto now = Clock::now();
-  const auto idleAfter = MayTryElsewhereAfterRun() ? TimePoint::min()
-                                                   : now - mPolicy.mFreshIdle;
+  const auto idleAfter =
+    MayTryElsewhereAfterRun() ? TimePoint::min() : now - mPolicy.mFreshIdle;
   auto connection = co_await mState.mPool.Acquire(
     aEndpoint->mRegistration.mAddress,
     idleAfter,
@@ -390,11 +389,10 @@
     if (step == Step::Done && !mExchange.mCaller->Gone()) {
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> took = Clock::now() - begun;
-      pool.mMeanSeconds =
-        pool.mMeanSeconds == 0
-          ? took.count()
-          : kDurationDecay * pool.mMeanSeconds +
-              (1 - kDurationDecay) * took.count();
+      pool.mMeanSeconds = pool.mMeanSeconds == 0
+                            ? took.count()
+                            : kDurationDecay * pool.mMeanSeconds +
+                                (1 - kDurationDecay) * took.count();
     }
   }
   mExchange.mCaller->mOnGone = nullptr;
@@ -418,11 +416,12 @@
   Dispatch dispatch;
   dispatch.mEndpointId = aEndpoint.mRegistration.mId;
   dispatch.mTeam = mExchange.mTeam;
-  dispatch.mRemaining =
-    std::max(kMinRemaining,
-             std::chrono::duration_cast<milliseconds>(mExchange.mDeadline - now));
+  dispatch.mRemaining = std::max(
+    kMinRemaining,
+    std::chrono::duration_cast<milliseconds>(mExchange.mDeadline - now));
   dispatch.mResumeAfter = mExchange.mLastEvent;
-  const auto request = mProtocol.mEndpointRequest(*mExchange.mRequest, dispatch);
+  const auto request =
+    mProtocol.mEndpointRequest(*mExchange.mRequest, dispatch);
   ++mExchange.mAttempts;
   const auto error =
     co_await SendRequest(aConnection, request, FirstByteDeadline());
@@ -534,9 +533,8 @@
     co_return Step::Failed;
   }
   const auto failed = aParser.get().result_int() >= 500;
-  NoteExchange(mState,
-               aEndpoint,
-               failed ? ExchangeResult::Failed : ExchangeResult::Good);
+  NoteExchange(
+    mState, aEndpoint, failed ? ExchangeResult::Failed : ExchangeResult::Good);
   Response response;
   response.base() = mProtocol.mCallerHead(aParser.get().base());
   response.body() = std::move(aParser.get().body());
@@ -642,8 +640,7 @@
   if (aSlots <= 0) {
     return Duration::zero();
   }
-  const auto seconds =
-    static_cast<double>(aAhead + 1) * aMeanSeconds / aSlots;
+  const auto seconds = static_cast<double>(aAhead + 1) * aMeanSeconds / aSlots;
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(seconds));
 }
@@ -692,8 +689,7 @@
     team != exchange.mDocument->mTeams.end() && team->second.mPriority
       ? *team->second.mPriority
       : exchange.mRoute->mPriority;
-  exchange.mService =
-    PickService(*exchange.mRoute, Uniform(mState.mRandom));
+  exchange.mService = PickService(*exchange.mRoute, Uniform(mState.mRandom));
   exchange.mLastEvent = exchange.mFacts.mResumeAfter;
   const auto patience =
     exchange.mFacts.mPatience.value_or(exchange.mRoute->mTimeout);
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -49,9 +49,8 @@
     if (!aCandidates[i].mUsable || room <= 0 || IsExcluded(aExcluded, i)) {
       continue;
     }
-    weights[i] =
-      std::pow(room, aPolicy.mFreeSlotPower) *
-      (aCandidates[i].mOwnDomain ? 1 : aPolicy.mOtherDomainWeight);
+    weights[i] = std::pow(room, aPolicy.mFreeSlotPower) *
+                 (aCandidates[i].mOwnDomain ? 1 : aPolicy.mOtherDomainWeight);
     total += weights[i];
   }
   if (total <= 0) {
@@ -101,8 +100,7 @@
   auto spare = 0.0;
   for (const auto& candidate : aCandidates) {
     if (candidate.mUsable) {
-      spare +=
-        std::max(0.0, FreeSlots(candidate) - aPolicy.mBatchHeadroom);
+      spare += std::max(0.0, FreeSlots(candidate) - aPolicy.mBatchHeadroom);
     }
   }
   return spare;
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -19,11 +19,11 @@
 struct PlacementCandidate
 {
   bool mOwnDomain = true;
-  bool mUsable = true; // may get new work now
-  double mSlots = 1;   // requests that it runs at once
-  double mOnline = 0;  // online requests of all hosts
-  double mBatch = 0;   // batch items of all hosts
-  double mUnseen = 0;  // requests that it reported beyond those
+  bool mUsable = true;   // may get new work now
+  double mSlots = 1;     // requests that it runs at once
+  double mOnline = 0;    // online requests of all hosts
+  double mBatch = 0;     // batch items of all hosts
+  double mUnseen = 0;    // requests that it reported beyond those
   double mSlowStart = 1; // share of its work that it may get, in (0, 1]
 };
 
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -129,11 +129,10 @@
 auto ServingDaemon::Start() -> Result<void, std::string>
 {
   const auto bind = [](HttpServer& aServer, const std::string& aAddress) {
-    const auto error = aAddress.empty() ? ErrorCode{} : aServer.Listen(aAddress);
-    return error ? absl::StrCat("cannot listen on ",
-                                aAddress,
-                                ": ",
-                                error.message())
+    const auto error =
+      aAddress.empty() ? ErrorCode{} : aServer.Listen(aAddress);
+    return error ? absl::StrCat(
+                     "cannot listen on ", aAddress, ": ", error.message())
                  : std::string();
   };
   for (const auto& failure : { bind(mCallers, mSettings.mCallers),
@@ -190,8 +189,7 @@
     }
     const auto admission = CheckCall(*document, facts);
     if (!admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch) {
-      co_await mJobs.ServeSubmission(
-        aCaller, aRequest, admission.mTeam, facts);
+      co_await mJobs.ServeSubmission(aCaller, aRequest, admission.mTeam, facts);
       co_return;
     }
   }
@@ -237,10 +235,10 @@
 {
   auto document = mReaders.mReadDocument(aBytes);
   if (!document) {
-    LogEvent(Severity::Error,
-             "document_unreadable",
-             { { "source", std::string(aSource) },
-               { "reason", document.error() } });
+    LogEvent(
+      Severity::Error,
+      "document_unreadable",
+      { { "source", std::string(aSource) }, { "reason", document.error() } });
     return;
   }
   if (PutInForce(mState, std::make_shared<ServingDocument>(*document))) {
@@ -270,8 +268,7 @@
   std::vector<Registration> registrations;
   mEndpointBytes.clear();
   for (const auto& record : aRecords) {
-    auto registration =
-      mReaders.mReadRegistration(record.mKey, record.mValue);
+    auto registration = mReaders.mReadRegistration(record.mKey, record.mValue);
     if (registration) {
       mEndpointBytes[record.mKey] = record.mValue;
       registrations.push_back(std::move(*registration));
@@ -322,24 +319,22 @@
     NoteStoreContact(mState.mDirectory, aAnswered, now);
     SyncPools(mState, now);
   };
-  Spawn(mLoop,
-        FollowTable(mTables,
-                    Table::Endpoints,
-                    kFollowEndpoints,
-                    { [this](const std::vector<KeyedRecord>& aRecords) {
-                       TakeAllEndpoints(aRecords);
-                     },
-                      [this](const KeyedRecord& aRecord) {
-                        TakeEndpoint(aRecord);
-                      },
-                      noteContact }));
+  Spawn(
+    mLoop,
+    FollowTable(mTables,
+                Table::Endpoints,
+                kFollowEndpoints,
+                { [this](const std::vector<KeyedRecord>& aRecords) {
+                   TakeAllEndpoints(aRecords);
+                 },
+                  [this](const KeyedRecord& aRecord) { TakeEndpoint(aRecord); },
+                  noteContact }));
 }
 
 auto ServingDaemon::CopyState() const -> wire::StateCopyT
 {
   wire::StateCopyT copy;
-  copy.document_version =
-    mState.mDocument ? mState.mDocument->mVersion : 0;
+  copy.document_version = mState.mDocument ? mState.mDocument->mVersion : 0;
   copy.document.assign(mDocumentBytes.begin(), mDocumentBytes.end());
   for (const auto& [id, bytes] : mEndpointBytes) {
     auto record = std::make_unique<wire::RecordCopyT>();
@@ -510,9 +505,8 @@
     co_await SleepUntil(Clock::now() + kDrainPoll);
   }
   co_await UnregisterHost();
-  LogEvent(Severity::Info,
-           "stopped",
-           { { "cut", absl::StrCat(mCallers.Active()) } });
+  LogEvent(
+    Severity::Info, "stopped", { { "cut", absl::StrCat(mCallers.Active()) } });
   mLoop.stop();
 }
 
--- a/mangovalve/serving/directory.h
+++ b/mangovalve/serving/directory.h
@@ -22,8 +22,8 @@
   std::string mService;
   std::string mAddress;
   std::string mDomain;
-  std::uint32_t mSlots = 1;   // requests that it runs at once
-  bool mLeaving = false;      // finishes its work and exits
+  std::uint32_t mSlots = 1;    // requests that it runs at once
+  bool mLeaving = false;       // finishes its work and exits
   std::int64_t mStartedMs = 0; // start of this incarnation, Unix time
 };
 
--- a/mangovalve/serving/document.cc
+++ b/mangovalve/serving/document.cc
@@ -45,11 +45,10 @@
 
 auto Allows(const ServingRoute& aRoute, std::string_view aService) -> bool
 {
-  return std::any_of(aRoute.mServices.begin(),
-                     aRoute.mServices.end(),
-                     [&](const WeightedService& aEntry) {
-                       return aEntry.mService == aService;
-                     });
+  return std::any_of(
+    aRoute.mServices.begin(),
+    aRoute.mServices.end(),
+    [&](const WeightedService& aEntry) { return aEntry.mService == aService; });
 }
 
 } // namespace mangovalve
--- a/mangovalve/serving/document.h
+++ b/mangovalve/serving/document.h
@@ -49,9 +49,9 @@
   bool mPublic = false;                         // no key needed
   bool mResumable = false;                      // streams only
   // Batch only.
-  std::chrono::milliseconds mDue{ 0 };       // after the first submission
+  std::chrono::milliseconds mDue{ 0 };          // after the first submission
   std::chrono::milliseconds mAbandonAfter{ 0 }; // after the first submission
-  std::uint64_t mMaxQueuedTokens = 0; // per team; 0: no limit
+  std::uint64_t mMaxQueuedTokens = 0;           // per team; 0: no limit
 };
 
 struct ServingService
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -103,10 +103,10 @@
 
 auto HeardPeers(const FleetLoad& aFleet) -> std::size_t
 {
-  return static_cast<std::size_t>(
-    std::count_if(aFleet.mPeers.begin(),
-                  aFleet.mPeers.end(),
-                  [](const auto& aPeer) { return !aPeer.second.mSilent; }));
+  return static_cast<std::size_t>(std::count_if(
+    aFleet.mPeers.begin(), aFleet.mPeers.end(), [](const auto& aPeer) {
+      return !aPeer.second.mSilent;
+    }));
 }
 
 auto OwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
--- /dev/null
+++ b/mangovalve/serving/fleet_load_test.cc
@@ -0,0 +1,109 @@
+// Tests of what peers say of themselves.
+#include "mangovalve/serving/fleet_load.h"
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/base/random.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{ std::chrono::hours(1) };
+
+auto Report(const std::string& aHost,
+            std::uint64_t aIncarnation,
+            std::uint64_t aSequence,
+            std::uint32_t aOnline,
+            std::uint32_t aWaiting) -> wire::LoadReportT
+{
+  wire::LoadReportT report;
+  report.host = aHost;
+  report.incarnation = aIncarnation;
+  report.sequence = aSequence;
+  auto use = std::make_unique<wire::EndpointUseT>();
+  use->endpoint = 7;
+  use->online = aOnline;
+  report.endpoints.push_back(std::move(use));
+  auto queue = std::make_unique<wire::ServiceQueueT>();
+  queue->service = 9;
+  queue->waiting = aWaiting;
+  report.queues.push_back(std::move(queue));
+  return report;
+}
+
+TEST_CASE("late, doubled and older reports change nothing")
+{
+  FleetLoad fleet;
+  CHECK(ApplyReport(fleet, Report("a", 1, 2, 3, 1), kNow));
+  CHECK_FALSE(ApplyReport(fleet, Report("a", 1, 2, 9, 9), kNow));
+  CHECK_FALSE(ApplyReport(fleet, Report("a", 1, 1, 9, 9), kNow));
+  CHECK(ApplyReport(fleet, Report("a", 2, 1, 4, 0), kNow));
+  CHECK_FALSE(ApplyReport(fleet, Report("a", 1, 50, 9, 9), kNow));
+  CHECK(PeerInFlight(fleet, 7).mOnline == 4);
+  CHECK(PeerWaiting(fleet, 9) == 0);
+}
+
+TEST_CASE("sums equal the last reports of the peers heard, in any order")
+{
+  Random random{ 11 };
+  FleetLoad fleet;
+  std::map<std::string, std::uint32_t> expected;
+  for (std::uint64_t i = 1; i < 2000; ++i) {
+    const auto host = std::to_string(Below(random, 6));
+    const auto now = kNow + std::chrono::milliseconds(i);
+    if (Below(random, 20) == 0) {
+      RemovePeer(fleet, host);
+      expected.erase(host);
+    } else if (Below(random, 20) == 0) {
+      MarkSilent(fleet, now + seconds(1));
+      expected.clear();
+    } else {
+      const auto online = static_cast<std::uint32_t>(Below(random, 5));
+      ApplyReport(fleet, Report(host, 1, i, online, online), now);
+      expected[host] = online;
+    }
+    std::uint32_t sum = 0;
+    for (const auto& [name, online] : expected) {
+      sum += online;
+    }
+    REQUIRE(PeerInFlight(fleet, 7).mOnline == sum);
+    REQUIRE(PeerWaiting(fleet, 9) == sum);
+    REQUIRE(HeardPeers(fleet) == expected.size());
+  }
+}
+
+TEST_CASE("the claim with the highest generation names the owner")
+{
+  // Guards against asking a former owner that has not noticed its loss yet.
+  FleetLoad fleet;
+  const auto claim = [&](const std::string& aHost, std::uint64_t aGeneration) {
+    auto report = Report(aHost, 1, 1, 0, 0);
+    auto entry = std::make_unique<wire::PartitionOwnerT>();
+    entry->partition = 3;
+    entry->generation = aGeneration;
+    report.partitions.push_back(std::move(entry));
+    ApplyReport(fleet, std::move(report), kNow);
+  };
+  CHECK_FALSE(OwnerOf(fleet, 3).has_value());
+  claim("new", 8);
+  claim("old", 7);
+  CHECK(OwnerOf(fleet, 3)->mHost == "new");
+  MarkSilent(fleet, kNow + seconds(1));
+  CHECK_FALSE(OwnerOf(fleet, 3).has_value());
+}
+
+TEST_CASE("a host that is registered but never heard does not count as heard")
+{
+  FleetLoad fleet;
+  AddPeer(fleet, "a", kNow);
+  CHECK(fleet.mPeers.size() == 1);
+  CHECK(HeardPeers(fleet) == 0);
+  CHECK(ApplyReport(fleet, Report("a", 1, 1, 2, 0), kNow));
+  AddPeer(fleet, "a", kNow);
+  CHECK(HeardPeers(fleet) == 1);
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -23,8 +23,8 @@
   std::string mPath; // without the query
   std::string mKey;  // empty if there is none
   std::optional<std::chrono::milliseconds> mPatience; // how long it will wait
-  std::optional<std::uint64_t> mResumeAfter; // last event that it has
-  std::optional<std::uint64_t> mTokens;      // prompt and output, if told
+  std::optional<std::uint64_t> mResumeAfter;          // last event that it has
+  std::optional<std::uint64_t> mTokens; // prompt and output, if told
 };
 
 // How a request goes to an endpoint.
@@ -46,11 +46,11 @@
 // What an endpoint's answer says.
 struct AnswerFacts
 {
-  std::string mId;              // of the request that it answers
-  bool mSigned = false;         // the endpoint vouches for status and body
-  bool mNotRun = false;         // the endpoint did not run the request
-  bool mOtherEndpoint = false;  // another endpoint has this address now
-  bool mLeaving = false;        // the endpoint may be leaving
+  std::string mId;             // of the request that it answers
+  bool mSigned = false;        // the endpoint vouches for status and body
+  bool mNotRun = false;        // the endpoint did not run the request
+  bool mOtherEndpoint = false; // another endpoint has this address now
+  bool mLeaving = false;       // the endpoint may be leaving
   bool mIsEventStream = false;
   std::optional<ReportedLoad> mLoad;
 };
@@ -68,8 +68,8 @@
 {
   JobVerb mVerb = JobVerb::Results;
   std::string mJob;
-  std::string mItem;        // Body
-  std::uint32_t mAfter = 0; // Results: first position
+  std::string mItem;                    // Body
+  std::uint32_t mAfter = 0;             // Results: first position
   std::chrono::milliseconds mWait{ 0 }; // Results: for a result to exist
 };
 
@@ -122,14 +122,13 @@
   // The items of a submission; an error says what is wrong with it.
   std::function<auto(const Request&)->Result<wire::JobT, std::string>>
     mReadSubmission;
-  std::function<auto(JobVerb, const JobReply&, const std::string& aId)
-                  ->Response>
+  std::function<
+    auto(JobVerb, const JobReply&, const std::string& aId)->Response>
     mJobAnswer;
   // An item as it goes to an endpoint.
-  std::function<auto(const std::string& aHost,
-                     const wire::JobItemT&,
-                     const Dispatch&)
-                  ->Request>
+  std::function<
+    auto(const std::string& aHost, const wire::JobItemT&, const Dispatch&)
+      ->Request>
     mItemRequest;
   // Status of an answer that says that an item can never be done.
   std::function<auto(unsigned aStatus)->bool> mIsHopeless;
--- a/mangovalve/serving/settings.cc
+++ b/mangovalve/serving/settings.cc
@@ -63,8 +63,8 @@
     std::chrono::duration<double> seconds = aInto;
     auto number = seconds.count();
     Number(aName, number, 0, kDay);
-    aInto = std::chrono::milliseconds(
-      static_cast<std::int64_t>(number * kMillis));
+    aInto =
+      std::chrono::milliseconds(static_cast<std::int64_t>(number * kMillis));
   }
 };
 
--- a/mangovalve/serving/settings.h
+++ b/mangovalve/serving/settings.h
@@ -13,13 +13,13 @@
 
 struct ServingSettings
 {
-  std::string mName;          // of the host
+  std::string mName; // of the host
   std::string mFailureDomain;
-  std::string mCallers;       // IP:PORT for callers
-  std::string mReadiness;     // IP:PORT for the balancer's question
-  std::string mPeers;         // IP:PORT for other daemons, TCP and UDP
-  std::string mOperators;     // IP:PORT for operators and metrics; may be empty
-  std::string mStore;         // IP:PORT of the platform's store
+  std::string mCallers;   // IP:PORT for callers
+  std::string mReadiness; // IP:PORT for the balancer's question
+  std::string mPeers;     // IP:PORT for other daemons, TCP and UDP
+  std::string mOperators; // IP:PORT for operators and metrics; may be empty
+  std::string mStore;     // IP:PORT of the platform's store
   std::vector<std::string> mSeeds; // daemons to ask when the store is away
   std::uint32_t mJobPartitions = 8;
   std::size_t mMaxRecordBytes = 256 * 1024;
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -73,8 +73,7 @@
                { "service", aRegistration.mService },
                { "address", aRegistration.mAddress },
                { "domain", aRegistration.mDomain } });
-  } else if (aRegistration.mLeaving &&
-             !endpoint->mRegistration.mLeaving) {
+  } else if (aRegistration.mLeaving && !endpoint->mRegistration.mLeaving) {
     LogEvent(Severity::Info,
              "endpoint_leaving",
              { { "endpoint", aRegistration.mId } });
@@ -88,9 +87,8 @@
     std::erase_if(pool.mEndpoints, [&](const EndpointPtr& aEndpoint) {
       const auto& id = aEndpoint->mRegistration.mId;
       const auto found = aState.mDirectory.mEntries.find(id);
-      const auto gone =
-        found == aState.mDirectory.mEntries.end() ||
-        found->second.mRegistration.mService != service;
+      const auto gone = found == aState.mDirectory.mEntries.end() ||
+                        found->second.mRegistration.mService != service;
       if (gone) {
         aEndpoint->mRemoved = true;
         aState.mPool.Forget(aEndpoint->mRegistration.mAddress);
@@ -160,8 +158,8 @@
     const auto total = TotalInFlight(aState, *endpoint);
     PlacementCandidate candidate;
     candidate.mOwnDomain = endpoint->mRegistration.mDomain == aState.mDomain;
-    candidate.mUsable = !endpoint->mRegistration.mLeaving &&
-                        Usable(endpoint->mHealth, aNow);
+    candidate.mUsable =
+      !endpoint->mRegistration.mLeaving && Usable(endpoint->mHealth, aNow);
     candidate.mSlots = endpoint->mRegistration.mSlots;
     candidate.mOnline = total.mOnline;
     candidate.mBatch = total.mBatch;
@@ -178,7 +176,9 @@
   return candidates;
 }
 
-EndpointUse::EndpointUse(ServingState& aState, EndpointPtr aEndpoint, Work aWork)
+EndpointUse::EndpointUse(ServingState& aState,
+                         EndpointPtr aEndpoint,
+                         Work aWork)
   : mState(aState)
   , mEndpoint(std::move(aEndpoint))
   , mWork(aWork)
@@ -246,7 +246,8 @@
   const auto now = Clock::now();
   const auto host = aReport.host;
   const auto known = aState.mFleet.mPeers.find(host);
-  const auto back = known == aState.mFleet.mPeers.end() || known->second.mSilent;
+  const auto back =
+    known == aState.mFleet.mPeers.end() || known->second.mSilent;
   if (!ApplyReport(aState.mFleet, std::move(aReport), now)) {
     return;
   }
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -35,8 +35,7 @@
 // All keys of the table, and the offset from which changes may be missing.
 auto LoadAll(const TablePorts& aPorts,
              Table aTable,
-             std::vector<KeyedRecord>& aRecords)
-  -> Task<std::optional<Offset>>
+             std::vector<KeyedRecord>& aRecords) -> Task<std::optional<Offset>>
 {
   std::optional<Offset> from;
   std::string after;
--- a/mangovalve/serving/tables.h
+++ b/mangovalve/serving/tables.h
@@ -83,23 +83,37 @@
 
 struct TablePorts
 {
-  std::function<auto(Table, std::uint32_t aPartition, std::string aAfterKey, TimePoint aDeadline)
+  std::function<auto(Table,
+                     std::uint32_t aPartition,
+                     std::string aAfterKey,
+                     TimePoint aDeadline)
                   ->Task<TableResult<TablePage>>>
     mNewest;
   // Waits for a record until aWaitUntil.
-  std::function<auto(Table, std::uint32_t aPartition, Offset aFrom, TimePoint aWaitUntil, TimePoint aDeadline)
+  std::function<auto(Table,
+                     std::uint32_t aPartition,
+                     Offset aFrom,
+                     TimePoint aWaitUntil,
+                     TimePoint aDeadline)
                   ->Task<TableResult<TableChanges>>>
     mChanges;
   // All records or none. No records: only sets the fence's token.
-  std::function<auto(Table, std::uint32_t aPartition, std::vector<KeyedRecord>, std::optional<WriterFence>, TimePoint aDeadline)
+  std::function<auto(Table,
+                     std::uint32_t aPartition,
+                     std::vector<KeyedRecord>,
+                     std::optional<WriterFence>,
+                     TimePoint aDeadline)
                   ->Task<TableResult<void>>>
     mAppend;
   // Joins the group that shares out the job partitions, or stays in it.
-  std::function<auto(std::string aMember, Duration aTimeToLive, std::uint64_t aGeneration, TimePoint aDeadline)
+  std::function<auto(std::string aMember,
+                     Duration aTimeToLive,
+                     std::uint64_t aGeneration,
+                     TimePoint aDeadline)
                   ->Task<TableResult<GroupShare>>>
     mJoin;
-  std::function<auto(std::string aMember, TimePoint aDeadline)
-                  ->Task<TableResult<void>>>
+  std::function<
+    auto(std::string aMember, TimePoint aDeadline)->Task<TableResult<void>>>
     mLeave;
 
   std::uint32_t mJobPartitions = 1;
--- /dev/null
+++ b/standins/common/endpoint_server.cc
@@ -0,0 +1,189 @@
+// An endpoint of the users' platform on loopback.
+#include "standins/common/endpoint_server.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace mangovalve::standin {
+namespace {
+
+constexpr auto kSilence = std::chrono::seconds(60);
+
+auto HeaderText(const Request& aRequest, const char* aName) -> std::string
+{
+  const auto value = aRequest[aName];
+  return { value.data(), value.size() };
+}
+
+auto Refusal(unsigned aStatus, const std::string& aId) -> Response
+{
+  Response response;
+  response.result(aStatus);
+  response.set("Not-Run", "1");
+  response.set("Request-Id", aId);
+  return response;
+}
+
+} // namespace
+
+auto EventText(const std::string& aId, std::uint64_t aNumber) -> std::string
+{
+  return absl::StrCat(aId, "-", aNumber);
+}
+
+auto WholeOutput(const std::string& aId, std::uint32_t aEvents) -> std::string
+{
+  std::string output;
+  for (std::uint32_t i = 1; i <= aEvents; ++i) {
+    absl::StrAppend(&output, i == 1 ? "" : "\n", EventText(aId, i));
+  }
+  return output;
+}
+
+EndpointServer::EndpointServer(asio::io_context& aLoop,
+                               EndpointOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mServer(
+      aLoop,
+      [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+        return Handle(std::move(aCaller), std::move(aRequest));
+      },
+      [] { return CallerLimits{}; })
+{
+}
+
+auto EndpointServer::Listen(const std::string& aAddress) -> ErrorCode
+{
+  return mServer.Listen(aAddress);
+}
+
+auto EndpointServer::RunsOf(const std::string& aId) const -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRuns.begin(), mRuns.end(), [&](const EndpointRun& aRun) {
+      return aRun.mId == aId;
+    }));
+}
+
+auto EndpointServer::Head(const Request& aRequest, unsigned aStatus) const
+  -> ResponseHead
+{
+  ResponseHead head;
+  head.result(aStatus);
+  head.set("Request-Id", HeaderText(aRequest, "Request-Id"));
+  head.set("Server-Load", absl::StrCat(mRunning, ",0,", mOptions.mSlots));
+  if (!mFaults.mUnsigned) {
+    head.set("Response-Signature", absl::StrCat("by-", mOptions.mId));
+  }
+  return head;
+}
+
+auto EndpointServer::Handle(CallerPtr aCaller,
+                            std::shared_ptr<Request> aRequest) -> Task<>
+{
+  const auto id = HeaderText(*aRequest, "Request-Id");
+  const auto expected = HeaderText(*aRequest, "Expect-Instance");
+  if (!expected.empty() && expected != mOptions.mId) {
+    co_await aCaller->Reply(Refusal(421, id));
+    co_return;
+  }
+  if (mFaults.mRefuse || mRunning >= mOptions.mSlots + mOptions.mQueue) {
+    co_await aCaller->Reply(Refusal(503, id));
+    co_return;
+  }
+  if (mFaults.mHopeless.contains(id)) {
+    Response response;
+    response.base() = Head(*aRequest, 422);
+    co_await aCaller->Reply(std::move(response));
+    co_return;
+  }
+  ++mRunning;
+  mMostRunning = std::max(mMostRunning, mRunning);
+  co_await Run(aCaller, *aRequest);
+  --mRunning;
+  mCancelled += aCaller->Gone() ? 1 : 0;
+}
+
+auto EndpointServer::Run(CallerPtr aCaller, const Request& aRequest) -> Task<>
+{
+  EndpointRun run;
+  run.mId = HeaderText(aRequest, "Request-Id");
+  run.mTeam = HeaderText(aRequest, "Tenant");
+  run.mKeySeen = aRequest.find("Credential") != aRequest.end();
+  run.mAt = Clock::now();
+  std::uint64_t last = 0;
+  if (absl::SimpleAtoi(HeaderText(aRequest, "Last-Event-Id"), &last)) {
+    run.mFrom = last;
+  }
+  mRuns.push_back(run);
+  if (mFaults.mSilent) {
+    co_await SleepUntil(Clock::now() + kSilence);
+    aCaller->Abort();
+    co_return;
+  }
+  if (mFaults.mStatus == 0 && mOptions.mStreams) {
+    co_await Stream(aCaller, aRequest);
+    co_return;
+  }
+  co_await SleepUntil(Clock::now() + mOptions.mWork);
+  Response response;
+  response.base() =
+    Head(aRequest, mFaults.mStatus == 0 ? 200 : mFaults.mStatus);
+  response.body() = absl::StrCat("answer to ", run.mId);
+  if (mFaults.mStrayAnswers > 0) {
+    --mFaults.mStrayAnswers;
+    auto second = response;
+    co_await aCaller->Reply(std::move(second));
+  }
+  co_await aCaller->Reply(std::move(response));
+}
+
+auto EndpointServer::Stream(CallerPtr aCaller, const Request& aRequest)
+  -> Task<>
+{
+  const auto id = HeaderText(aRequest, "Request-Id");
+  std::uint64_t last = 0;
+  // Without the header, the stream begins at its first event.
+  static_cast<void>(
+    absl::SimpleAtoi(HeaderText(aRequest, "Last-Event-Id"), &last));
+  auto head = Head(aRequest, 200);
+  head.set(http::field::content_type, "text/event-stream");
+  auto begun = false;
+  std::uint32_t sent = 0;
+  for (auto number = last + 1; number <= mOptions.mEvents; ++number) {
+    co_await SleepUntil(Clock::now() + mOptions.mPerEvent);
+    if (aCaller->Gone()) {
+      co_return;
+    }
+    auto event =
+      absl::StrCat("id: ", number, "\ndata: ", EventText(id, number), "\n\n");
+    const auto cut = mFaults.mCutAfter > 0 && sent >= mFaults.mCutAfter;
+    if (cut && !mFaults.mCutWithinEvent) {
+      aCaller->Abort();
+      co_return;
+    }
+    if (cut) {
+      event.resize(event.size() / 2);
+    }
+    if (begun) {
+      co_await aCaller->SendChunk(std::move(event));
+    } else {
+      co_await aCaller->BeginChunks(head, std::move(event));
+    }
+    begun = true;
+    ++sent;
+    if (cut) {
+      aCaller->Abort();
+      co_return;
+    }
+  }
+  if (!begun) {
+    std::string nothing;
+    co_await aCaller->BeginChunks(head, std::move(nothing));
+  }
+  co_await aCaller->EndChunks();
+}
+
+} // namespace mangovalve::standin
--- /dev/null
+++ b/standins/common/endpoint_server.h
@@ -0,0 +1,80 @@
+// An endpoint of the users' platform on loopback: a model engine that streams
+// events and resumes, or a plain service. It counts what it ran and misbehaves
+// on request.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mangovalve/loop/http_server.h"
+
+namespace mangovalve::standin {
+
+struct EndpointOptions
+{
+  std::string mId;
+  std::uint32_t mSlots = 8;
+  std::uint32_t mQueue = 24; // more requests are refused as not run
+  bool mStreams = true;      // a model engine; otherwise a plain service
+  std::uint32_t mEvents = 8; // of a whole stream
+  Duration mPerEvent = std::chrono::milliseconds(4);
+  Duration mWork = std::chrono::milliseconds(10); // of a plain request
+};
+
+struct EndpointFaults
+{
+  bool mSilent = false;            // takes requests and never answers
+  std::uint32_t mCutAfter = 0;     // breaks streams off after so many events
+  bool mCutWithinEvent = false;    // and in the middle of the next one
+  std::uint32_t mStrayAnswers = 0; // second answers to the next requests
+  unsigned mStatus = 0;            // answers with it, signed, after running
+  bool mRefuse = false;            // refuses as not run
+  bool mUnsigned = false;          // successes without a signature
+  std::set<std::string> mHopeless; // ids answered as impossible
+};
+
+struct EndpointRun
+{
+  std::string mId;
+  std::string mTeam;
+  std::uint64_t mFrom = 0; // first event that was asked for
+  bool mKeySeen = false;   // the caller's key came along
+  TimePoint mAt;
+};
+
+class EndpointServer
+{
+public:
+  EndpointServer(asio::io_context& aLoop, EndpointOptions aOptions);
+
+  auto Listen(const std::string& aAddress) -> ErrorCode;
+
+  // Times that the request with this id was run.
+  auto RunsOf(const std::string& aId) const -> std::size_t;
+
+  EndpointOptions mOptions;
+  EndpointFaults mFaults;
+  std::vector<EndpointRun> mRuns;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mMostRunning = 0;
+  std::uint32_t mCancelled = 0; // runs whose sender left before their end
+
+private:
+  auto Handle(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
+  auto Run(CallerPtr aCaller, const Request& aRequest) -> Task<>;
+  auto Stream(CallerPtr aCaller, const Request& aRequest) -> Task<>;
+  auto Head(const Request& aRequest, unsigned aStatus) const -> ResponseHead;
+
+  HttpServer mServer;
+};
+
+// The data of event aNumber of the request, the same at every endpoint.
+auto EventText(const std::string& aId, std::uint64_t aNumber) -> std::string;
+
+// What a whole stream's data come to, joined by line feeds.
+auto WholeOutput(const std::string& aId, std::uint32_t aEvents) -> std::string;
+
+} // namespace mangovalve::standin
