--- a/mangovalve/base/time.h
+++ b/mangovalve/base/time.h
@@ -17,22 +17,16 @@
 
 // Monotonic time that also counts while the machine is suspended. For leases,
 // which run out at their giver in the meantime.
-struct BootClock
+struct BootClock;
+using BootTime = std::chrono::time_point<BootClock, std::chrono::nanoseconds>;
+
+inline auto BootNow() -> BootTime
 {
-  using duration = std::chrono::nanoseconds;
-  using rep = duration::rep;
-  using period = duration::period;
-  using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
-
-  static auto now() noexcept -> time_point
-  {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return time_point(std::chrono::seconds(time.tv_sec) +
-                      std::chrono::nanoseconds(time.tv_nsec));
-  }
-};
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return BootTime(std::chrono::seconds(time.tv_sec) +
+                  std::chrono::nanoseconds(time.tv_nsec));
+}
 
 // Append time that the platform's log gave a record, since the Unix epoch.
 // Only log time may decide anything during replay.
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -83,11 +83,26 @@
   }
 }
 
+// The owner that has taken a partition over runs its items again, so going on
+// with them here would only hold slots.
+auto ItemRunner::StopLost() -> void
+{
+  const auto held = mPorts.mPartitions();
+  for (const auto& run : mRunning) {
+    const auto lost =
+      std::find(held.begin(), held.end(), run->mPartition) == held.end();
+    if (lost && !run->mStopped) {
+      Stop(*run);
+    }
+  }
+}
+
 auto ItemRunner::Yield(TimePoint aNow) -> void
 {
   if (mRunning.empty()) {
     return;
   }
+  StopLost();
   for (auto& [service, pool] : mState.mPools) {
     const auto candidates = Candidates(mState, pool, aNow);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -82,6 +82,7 @@
     Interrupted, // to be gone on with
   };
 
+  auto StopLost() -> void;
   auto Yield(TimePoint aNow) -> void;
   auto Start(TimePoint aNow) -> void;
   auto StartOn(const std::string& aService, ServicePool& aPool, TimePoint aNow)
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -18,7 +18,7 @@
 
 // Calls of more bytes keep the partition busy for long, and what waits behind
 // them with it.
-constexpr std::size_t kBytesPerAppend = 512 * 1024;
+constexpr std::size_t kBytesPerAppend = 512UL << 10U;
 
 auto BytesOf(const std::vector<KeyedRecord>& aRecords) -> std::size_t
 {
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -27,7 +27,7 @@
 };
 
 // Bytes of results in one answer; callers take 1 MB at most.
-constexpr std::size_t kPageBytes = 900 * 1024;
+constexpr std::size_t kPageBytes = 900UL << 10U;
 
 // An owner's answer must not come later than a caller waits for a result.
 constexpr auto kWaitMargin = milliseconds(100);
@@ -100,7 +100,7 @@
 
 auto JobService::LeaseHolds() const -> bool
 {
-  return BootClock::now() < mLeaseUntil;
+  return BootNow() < mLeaseUntil;
 }
 
 auto JobService::OwnPartition(std::uint32_t aPartition) const -> JobPartitionPtr
@@ -143,7 +143,7 @@
 auto JobService::KeepMembership() -> Task<>
 {
   while (!mLeaving) {
-    const auto sentAt = BootClock::now();
+    const auto sentAt = BootNow();
     const auto started = Clock::now();
     const auto share = co_await mTables.mJoin(
       mState.mHost,
@@ -205,10 +205,7 @@
 {
   for (const auto& [number, partition] : mPartitions) {
     if (partition->Active()) {
-      auto claim = std::make_unique<wire::PartitionOwnerT>();
-      claim->partition = number;
-      claim->generation = partition->Generation();
-      aReport.partitions.push_back(std::move(claim));
+      aReport.partitions.emplace_back(partition->Generation(), number);
     }
   }
   aReport.leaving = mLeaving;
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -96,7 +96,7 @@
   ItemRunner mRunner;
   std::map<std::uint32_t, JobPartitionPtr> mPartitions;
   std::uint64_t mGeneration = 0;
-  BootClock::time_point mLeaseUntil{};
+  BootTime mLeaseUntil{};
   bool mLeaving = false;
 };
 
--- a/mangovalve/limits/fleet_rate.cc
+++ b/mangovalve/limits/fleet_rate.cc
@@ -56,11 +56,13 @@
     aRate.mTokens -= 1;
   }
   ++aRate.mAdmitted;
+  aRate.mChangedAt = aNow;
   return true;
 }
 
-auto Refund(FleetRate& aRate) -> void
+auto Refund(FleetRate& aRate, TimePoint aNow) -> void
 {
+  aRate.mChangedAt = aNow;
   aRate.mAdmitted -= std::min<std::uint64_t>(1, aRate.mAdmitted);
   aRate.mTokens = std::min(aRate.mBurst, aRate.mTokens + 1);
 }
@@ -83,12 +85,12 @@
   const auto [found, first] = aRate.mPeers.try_emplace(aHost);
   auto& peer = found->second;
   auto base = peer.mAdmitted;
-  if (first && !aStartedLater) {
+  if (peer.mRebase || (first && !aStartedLater)) {
     base = aAdmitted;
   } else if (peer.mIncarnation != aIncarnation) {
     base = 0;
   }
-  peer = PeerAdmissions{ aIncarnation, aAdmitted };
+  peer = PeerAdmissions{ aIncarnation, aAdmitted, false };
   if (aRate.mRate > 0 && aAdmitted != base) {
     Accrue(aRate, aNow);
     const auto change =
@@ -97,9 +99,9 @@
   }
 }
 
-auto ForgetPeer(FleetRate& aRate, const std::string& aHost) -> void
+auto RebasePeer(FleetRate& aRate, const std::string& aHost) -> void
 {
-  aRate.mPeers.erase(aHost);
+  aRate.mPeers[aHost].mRebase = true;
 }
 
 auto LowerTo(FleetRate& aRate, double aLevel) -> void
--- a/mangovalve/limits/fleet_rate.h
+++ b/mangovalve/limits/fleet_rate.h
@@ -22,6 +22,7 @@
 {
   std::uint64_t mIncarnation = 0;
   std::uint64_t mAdmitted = 0; // as last reported
+  bool mRebase = false;        // the next report only sets the base
 };
 
 struct FleetRate
@@ -32,6 +33,7 @@
   double mShare = 1;  // part of the rate for this side of a cut, in (0, 1]
   TimePoint mAccruedAt{};
   std::uint64_t mAdmitted = 0; // by this daemon since its start, less refunds
+  TimePoint mChangedAt{}; // when mAdmitted last changed
   absl::flat_hash_map<std::string, PeerAdmissions> mPeers; // by host
 };
 
@@ -49,7 +51,7 @@
 auto Admit(FleetRate& aRate, TimePoint aNow) -> bool;
 
 // Gives the token of an admitted request back that was not run after all.
-auto Refund(FleetRate& aRate) -> void;
+auto Refund(FleetRate& aRate, TimePoint aNow) -> void;
 
 // When the next token is due, for a request that was not admitted.
 auto NextTokenAt(const FleetRate& aRate, TimePoint aNow) -> TimePoint;
@@ -65,7 +67,7 @@
 
 // Drops the base of a peer that has fallen silent. What it admits until it is
 // heard again comes out of its own side's share.
-auto ForgetPeer(FleetRate& aRate, const std::string& aHost) -> void;
+auto RebasePeer(FleetRate& aRate, const std::string& aHost) -> void;
 
 // A daemon that has just started does not know what was admitted before, so it
 // takes over a peer's lower level.
--- a/mangovalve/limits/fleet_rate_test.cc
+++ b/mangovalve/limits/fleet_rate_test.cc
@@ -54,7 +54,7 @@
 {
   auto rate = Limited(1, 1);
   CHECK(Admit(rate, kStart));
-  Refund(rate);
+  Refund(rate, kStart);
   CHECK(rate.mAdmitted == 0);
   CHECK(Admit(rate, kStart));
 
@@ -82,9 +82,12 @@
   // because both sides charge each other for what each was entitled to.
   auto rate = Limited(10, 10);
   NotePeer(rate, "a", 1, 50, false, kStart);
-  ForgetPeer(rate, "a");
-  NotePeer(rate, "a", 1, 500, false, kStart);
+  RebasePeer(rate, "a");
+  // Also when the team is first reported some time after the peer is back.
+  NotePeer(rate, "a", 1, 500, true, kStart);
   CHECK(rate.mTokens == doctest::Approx(10));
+  NotePeer(rate, "a", 1, 502, true, kStart);
+  CHECK(rate.mTokens == doctest::Approx(8));
 }
 
 TEST_CASE("a lower burst cuts the tokens at once, a new limit starts full")
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -24,8 +24,8 @@
 // request does not cross its close.
 constexpr auto kIdleMargin = std::chrono::milliseconds(700);
 
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64UL << 10U;
+constexpr std::size_t kMaxAnswerBytes = 64UL << 20U;
 
 auto SetOptions(Tcp::socket& aSocket) -> void
 {
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -17,8 +17,8 @@
 // What a caller may send, and how long it may take.
 struct CallerLimits
 {
-  std::uint32_t mMaxHeaderBytes = 16 * 1024;
-  std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
+  std::uint32_t mMaxHeaderBytes = 16UL << 10U;
+  std::uint64_t mMaxBodyBytes = 4UL << 20U;
   std::chrono::milliseconds mHeaderTimeout{ 3000 };
   std::chrono::milliseconds mIdleTimeout{ 15000 };
 };
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -337,7 +337,7 @@
   if (notRun && mExchange.mAttempts == 0) {
     const auto rate = mState.mRates.find(mExchange.mTeam);
     if (rate != mState.mRates.end()) {
-      Refund(rate->second);
+      Refund(rate->second, Clock::now());
     }
   }
   Log(mExchange.mCaller->Gone() ? "caller_gone"
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -17,323 +17,156 @@
 namespace wire {
 
 struct EndpointUse;
-struct EndpointUseBuilder;
-struct EndpointUseT;
 
 struct ServiceQueue;
-struct ServiceQueueBuilder;
-struct ServiceQueueT;
 
 struct TeamUse;
-struct TeamUseBuilder;
-struct TeamUseT;
 
 struct PartitionOwner;
-struct PartitionOwnerBuilder;
-struct PartitionOwnerT;
 
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
 
-struct EndpointUseT : public flatbuffers::NativeTable {
-  typedef EndpointUse TableType;
-  uint64_t endpoint = 0;
-  uint32_t online = 0;
-  uint32_t batch = 0;
-};
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint32_t online_;
+  uint32_t batch_;
 
-struct EndpointUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EndpointUseT NativeTableType;
-  typedef EndpointUseBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINT = 4,
-    VT_ONLINE = 6,
-    VT_BATCH = 8
-  };
+  EndpointUse()
+      : endpoint_(0),
+        online_(0),
+        batch_(0) {
+  }
+  EndpointUse(uint64_t _endpoint, uint32_t _online, uint32_t _batch)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        online_(flatbuffers::EndianScalar(_online)),
+        batch_(flatbuffers::EndianScalar(_batch)) {
+  }
   uint64_t endpoint() const {
-    return GetField<uint64_t>(VT_ENDPOINT, 0);
+    return flatbuffers::EndianScalar(endpoint_);
   }
   uint32_t online() const {
-    return GetField<uint32_t>(VT_ONLINE, 0);
+    return flatbuffers::EndianScalar(online_);
   }
   uint32_t batch() const {
-    return GetField<uint32_t>(VT_BATCH, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_ENDPOINT, 8) &&
-           VerifyField<uint32_t>(verifier, VT_ONLINE, 4) &&
-           VerifyField<uint32_t>(verifier, VT_BATCH, 4) &&
-           verifier.EndTable();
-  }
-  EndpointUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EndpointUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EndpointUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct EndpointUseBuilder {
-  typedef EndpointUse Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_endpoint(uint64_t endpoint) {
-    fbb_.AddElement<uint64_t>(EndpointUse::VT_ENDPOINT, endpoint, 0);
-  }
-  void add_online(uint32_t online) {
-    fbb_.AddElement<uint32_t>(EndpointUse::VT_ONLINE, online, 0);
-  }
-  void add_batch(uint32_t batch) {
-    fbb_.AddElement<uint32_t>(EndpointUse::VT_BATCH, batch, 0);
-  }
-  explicit EndpointUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<EndpointUse> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EndpointUse>(end);
-    return o;
+    return flatbuffers::EndianScalar(batch_);
   }
 };
-
-inline flatbuffers::Offset<EndpointUse> CreateEndpointUse(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t endpoint = 0,
-    uint32_t online = 0,
-    uint32_t batch = 0) {
-  EndpointUseBuilder builder_(_fbb);
-  builder_.add_endpoint(endpoint);
-  builder_.add_batch(batch);
-  builder_.add_online(online);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(EndpointUse, 16);
 
 struct EndpointUse::Traits {
   using type = EndpointUse;
-  static auto constexpr Create = CreateEndpointUse;
 };
 
-flatbuffers::Offset<EndpointUse> CreateEndpointUse(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceQueue FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint32_t waiting_;
+  int32_t padding0__;
 
-struct ServiceQueueT : public flatbuffers::NativeTable {
-  typedef ServiceQueue TableType;
-  uint64_t service = 0;
-  uint32_t waiting = 0;
-};
-
-struct ServiceQueue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ServiceQueueT NativeTableType;
-  typedef ServiceQueueBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVICE = 4,
-    VT_WAITING = 6
-  };
+  ServiceQueue()
+      : service_(0),
+        waiting_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServiceQueue(uint64_t _service, uint32_t _waiting)
+      : service_(flatbuffers::EndianScalar(_service)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        padding0__(0) {
+    (void)padding0__;
+  }
   uint64_t service() const {
-    return GetField<uint64_t>(VT_SERVICE, 0);
+    return flatbuffers::EndianScalar(service_);
   }
   uint32_t waiting() const {
-    return GetField<uint32_t>(VT_WAITING, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
-           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
-           verifier.EndTable();
-  }
-  ServiceQueueT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ServiceQueueT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ServiceQueue> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct ServiceQueueBuilder {
-  typedef ServiceQueue Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_service(uint64_t service) {
-    fbb_.AddElement<uint64_t>(ServiceQueue::VT_SERVICE, service, 0);
-  }
-  void add_waiting(uint32_t waiting) {
-    fbb_.AddElement<uint32_t>(ServiceQueue::VT_WAITING, waiting, 0);
-  }
-  explicit ServiceQueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<ServiceQueue> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ServiceQueue>(end);
-    return o;
+    return flatbuffers::EndianScalar(waiting_);
   }
 };
-
-inline flatbuffers::Offset<ServiceQueue> CreateServiceQueue(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t service = 0,
-    uint32_t waiting = 0) {
-  ServiceQueueBuilder builder_(_fbb);
-  builder_.add_service(service);
-  builder_.add_waiting(waiting);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(ServiceQueue, 16);
 
 struct ServiceQueue::Traits {
   using type = ServiceQueue;
-  static auto constexpr Create = CreateServiceQueue;
 };
 
-flatbuffers::Offset<ServiceQueue> CreateServiceQueue(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct TeamUseT : public flatbuffers::NativeTable {
-  typedef TeamUse TableType;
-  uint64_t team = 0;
-  uint64_t admitted = 0;
-  double level = 0.0;
-};
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TeamUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t team_;
+  uint64_t admitted_;
+  float level_;
+  int32_t padding0__;
 
-struct TeamUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef TeamUseT NativeTableType;
-  typedef TeamUseBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TEAM = 4,
-    VT_ADMITTED = 6,
-    VT_LEVEL = 8
-  };
+  TeamUse()
+      : team_(0),
+        admitted_(0),
+        level_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  TeamUse(uint64_t _team, uint64_t _admitted, float _level)
+      : team_(flatbuffers::EndianScalar(_team)),
+        admitted_(flatbuffers::EndianScalar(_admitted)),
+        level_(flatbuffers::EndianScalar(_level)),
+        padding0__(0) {
+    (void)padding0__;
+  }
   uint64_t team() const {
-    return GetField<uint64_t>(VT_TEAM, 0);
+    return flatbuffers::EndianScalar(team_);
   }
   uint64_t admitted() const {
-    return GetField<uint64_t>(VT_ADMITTED, 0);
-  }
-  double level() const {
-    return GetField<double>(VT_LEVEL, 0.0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ADMITTED, 8) &&
-           VerifyField<double>(verifier, VT_LEVEL, 8) &&
-           verifier.EndTable();
-  }
-  TeamUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(TeamUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<TeamUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct TeamUseBuilder {
-  typedef TeamUse Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_team(uint64_t team) {
-    fbb_.AddElement<uint64_t>(TeamUse::VT_TEAM, team, 0);
+    return flatbuffers::EndianScalar(admitted_);
   }
-  void add_admitted(uint64_t admitted) {
-    fbb_.AddElement<uint64_t>(TeamUse::VT_ADMITTED, admitted, 0);
-  }
-  void add_level(double level) {
-    fbb_.AddElement<double>(TeamUse::VT_LEVEL, level, 0.0);
-  }
-  explicit TeamUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<TeamUse> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<TeamUse>(end);
-    return o;
+  float level() const {
+    return flatbuffers::EndianScalar(level_);
   }
 };
-
-inline flatbuffers::Offset<TeamUse> CreateTeamUse(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t team = 0,
-    uint64_t admitted = 0,
-    double level = 0.0) {
-  TeamUseBuilder builder_(_fbb);
-  builder_.add_level(level);
-  builder_.add_admitted(admitted);
-  builder_.add_team(team);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(TeamUse, 24);
 
 struct TeamUse::Traits {
   using type = TeamUse;
-  static auto constexpr Create = CreateTeamUse;
 };
 
-flatbuffers::Offset<TeamUse> CreateTeamUse(flatbuffers::FlatBufferBuilder &_fbb, const TeamUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct PartitionOwnerT : public flatbuffers::NativeTable {
-  typedef PartitionOwner TableType;
-  uint32_t partition = 0;
-  uint64_t generation = 0;
-};
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartitionOwner FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t generation_;
+  uint32_t partition_;
+  int32_t padding0__;
 
-struct PartitionOwner FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef PartitionOwnerT NativeTableType;
-  typedef PartitionOwnerBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PARTITION = 4,
-    VT_GENERATION = 6
-  };
-  uint32_t partition() const {
-    return GetField<uint32_t>(VT_PARTITION, 0);
+  PartitionOwner()
+      : generation_(0),
+        partition_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartitionOwner(uint64_t _generation, uint32_t _partition)
+      : generation_(flatbuffers::EndianScalar(_generation)),
+        partition_(flatbuffers::EndianScalar(_partition)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t generation() const {
-    return GetField<uint64_t>(VT_GENERATION, 0);
+    return flatbuffers::EndianScalar(generation_);
   }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint32_t>(verifier, VT_PARTITION, 4) &&
-           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           verifier.EndTable();
-  }
-  PartitionOwnerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(PartitionOwnerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<PartitionOwner> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartitionOwnerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct PartitionOwnerBuilder {
-  typedef PartitionOwner Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_partition(uint32_t partition) {
-    fbb_.AddElement<uint32_t>(PartitionOwner::VT_PARTITION, partition, 0);
-  }
-  void add_generation(uint64_t generation) {
-    fbb_.AddElement<uint64_t>(PartitionOwner::VT_GENERATION, generation, 0);
-  }
-  explicit PartitionOwnerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<PartitionOwner> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<PartitionOwner>(end);
-    return o;
+  uint32_t partition() const {
+    return flatbuffers::EndianScalar(partition_);
   }
 };
-
-inline flatbuffers::Offset<PartitionOwner> CreatePartitionOwner(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t partition = 0,
-    uint64_t generation = 0) {
-  PartitionOwnerBuilder builder_(_fbb);
-  builder_.add_generation(generation);
-  builder_.add_partition(partition);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(PartitionOwner, 16);
 
 struct PartitionOwner::Traits {
   using type = PartitionOwner;
-  static auto constexpr Create = CreatePartitionOwner;
 };
 
-flatbuffers::Offset<PartitionOwner> CreatePartitionOwner(flatbuffers::FlatBufferBuilder &_fbb, const PartitionOwnerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   std::string host{};
@@ -341,15 +174,11 @@
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   uint64_t document = 0;
-  std::vector<std::unique_ptr<mangovalve::wire::EndpointUseT>> endpoints{};
-  std::vector<std::unique_ptr<mangovalve::wire::ServiceQueueT>> queues{};
-  std::vector<std::unique_ptr<mangovalve::wire::TeamUseT>> teams{};
-  std::vector<std::unique_ptr<mangovalve::wire::PartitionOwnerT>> partitions{};
+  std::vector<mangovalve::wire::EndpointUse> endpoints{};
+  std::vector<mangovalve::wire::ServiceQueue> queues{};
+  std::vector<mangovalve::wire::TeamUse> teams{};
+  std::vector<mangovalve::wire::PartitionOwner> partitions{};
   bool leaving = false;
-  LoadReportT() = default;
-  LoadReportT(const LoadReportT &o);
-  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
-  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -383,17 +212,17 @@
   uint64_t document() const {
     return GetField<uint64_t>(VT_DOCUMENT, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::EndpointUse>> *endpoints() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::EndpointUse>> *>(VT_ENDPOINTS);
+  const flatbuffers::Vector<const mangovalve::wire::EndpointUse *> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointUse *> *>(VT_ENDPOINTS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>> *queues() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>> *>(VT_QUEUES);
+  const flatbuffers::Vector<const mangovalve::wire::ServiceQueue *> *queues() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::ServiceQueue *> *>(VT_QUEUES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::TeamUse>> *teams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::TeamUse>> *>(VT_TEAMS);
+  const flatbuffers::Vector<const mangovalve::wire::TeamUse *> *teams() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::TeamUse *> *>(VT_TEAMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>> *partitions() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>> *>(VT_PARTITIONS);
+  const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *partitions() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *>(VT_PARTITIONS);
   }
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
@@ -409,16 +238,12 @@
            VerifyField<uint64_t>(verifier, VT_DOCUMENT, 8) &&
            VerifyOffset(verifier, VT_ENDPOINTS) &&
            verifier.VerifyVector(endpoints()) &&
-           verifier.VerifyVectorOfTables(endpoints()) &&
            VerifyOffset(verifier, VT_QUEUES) &&
            verifier.VerifyVector(queues()) &&
-           verifier.VerifyVectorOfTables(queues()) &&
            VerifyOffset(verifier, VT_TEAMS) &&
            verifier.VerifyVector(teams()) &&
-           verifier.VerifyVectorOfTables(teams()) &&
            VerifyOffset(verifier, VT_PARTITIONS) &&
            verifier.VerifyVector(partitions()) &&
-           verifier.VerifyVectorOfTables(partitions()) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
@@ -446,16 +271,16 @@
   void add_document(uint64_t document) {
     fbb_.AddElement<uint64_t>(LoadReport::VT_DOCUMENT, document, 0);
   }
-  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::EndpointUse>>> endpoints) {
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointUse *>> endpoints) {
     fbb_.AddOffset(LoadReport::VT_ENDPOINTS, endpoints);
   }
-  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>>> queues) {
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues) {
     fbb_.AddOffset(LoadReport::VT_QUEUES, queues);
   }
-  void add_teams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::TeamUse>>> teams) {
+  void add_teams(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams) {
     fbb_.AddOffset(LoadReport::VT_TEAMS, teams);
   }
-  void add_partitions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>>> partitions) {
+  void add_partitions(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions) {
     fbb_.AddOffset(LoadReport::VT_PARTITIONS, partitions);
   }
   void add_leaving(bool leaving) {
@@ -481,10 +306,10 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     uint64_t document = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::EndpointUse>>> endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>>> queues = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::TeamUse>>> teams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>>> partitions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointUse *>> endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0,
     bool leaving = false) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
@@ -512,17 +337,17 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     uint64_t document = 0,
-    const std::vector<flatbuffers::Offset<mangovalve::wire::EndpointUse>> *endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>> *queues = nullptr,
-    const std::vector<flatbuffers::Offset<mangovalve::wire::TeamUse>> *teams = nullptr,
-    const std::vector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>> *partitions = nullptr,
+    const std::vector<mangovalve::wire::EndpointUse> *endpoints = nullptr,
+    const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
+    const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
+    const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr,
     bool leaving = false) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
-  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::EndpointUse>>(*endpoints) : 0;
-  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>>(*queues) : 0;
-  auto teams__ = teams ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::TeamUse>>(*teams) : 0;
-  auto partitions__ = partitions ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>>(*partitions) : 0;
+  auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
+  auto queues__ = queues ? _fbb.CreateVectorOfStructs<mangovalve::wire::ServiceQueue>(*queues) : 0;
+  auto teams__ = teams ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamUse>(*teams) : 0;
+  auto partitions__ = partitions ? _fbb.CreateVectorOfStructs<mangovalve::wire::PartitionOwner>(*partitions) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       host__,
@@ -539,159 +364,6 @@
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline EndpointUseT *EndpointUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EndpointUseT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void EndpointUse::UnPackTo(EndpointUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = endpoint(); _o->endpoint = _e; }
-  { auto _e = online(); _o->online = _e; }
-  { auto _e = batch(); _o->batch = _e; }
-}
-
-inline flatbuffers::Offset<EndpointUse> EndpointUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEndpointUse(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<EndpointUse> CreateEndpointUse(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _endpoint = _o->endpoint;
-  auto _online = _o->online;
-  auto _batch = _o->batch;
-  return mangovalve::wire::CreateEndpointUse(
-      _fbb,
-      _endpoint,
-      _online,
-      _batch);
-}
-
-inline ServiceQueueT *ServiceQueue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ServiceQueueT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void ServiceQueue::UnPackTo(ServiceQueueT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = service(); _o->service = _e; }
-  { auto _e = waiting(); _o->waiting = _e; }
-}
-
-inline flatbuffers::Offset<ServiceQueue> ServiceQueue::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateServiceQueue(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<ServiceQueue> CreateServiceQueue(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceQueueT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _service = _o->service;
-  auto _waiting = _o->waiting;
-  return mangovalve::wire::CreateServiceQueue(
-      _fbb,
-      _service,
-      _waiting);
-}
-
-inline TeamUseT *TeamUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TeamUseT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void TeamUse::UnPackTo(TeamUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = team(); _o->team = _e; }
-  { auto _e = admitted(); _o->admitted = _e; }
-  { auto _e = level(); _o->level = _e; }
-}
-
-inline flatbuffers::Offset<TeamUse> TeamUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTeamUse(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<TeamUse> CreateTeamUse(flatbuffers::FlatBufferBuilder &_fbb, const TeamUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team;
-  auto _admitted = _o->admitted;
-  auto _level = _o->level;
-  return mangovalve::wire::CreateTeamUse(
-      _fbb,
-      _team,
-      _admitted,
-      _level);
-}
-
-inline PartitionOwnerT *PartitionOwner::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PartitionOwnerT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void PartitionOwner::UnPackTo(PartitionOwnerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = partition(); _o->partition = _e; }
-  { auto _e = generation(); _o->generation = _e; }
-}
-
-inline flatbuffers::Offset<PartitionOwner> PartitionOwner::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartitionOwnerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePartitionOwner(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<PartitionOwner> CreatePartitionOwner(flatbuffers::FlatBufferBuilder &_fbb, const PartitionOwnerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartitionOwnerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _partition = _o->partition;
-  auto _generation = _o->generation;
-  return mangovalve::wire::CreatePartitionOwner(
-      _fbb,
-      _partition,
-      _generation);
-}
-
-inline LoadReportT::LoadReportT(const LoadReportT &o)
-      : host(o.host),
-        domain(o.domain),
-        incarnation(o.incarnation),
-        sequence(o.sequence),
-        document(o.document),
-        leaving(o.leaving) {
-  endpoints.reserve(o.endpoints.size());
-  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangovalve::wire::EndpointUseT(*endpoints_) : nullptr); }
-  queues.reserve(o.queues.size());
-  for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new mangovalve::wire::ServiceQueueT(*queues_) : nullptr); }
-  teams.reserve(o.teams.size());
-  for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new mangovalve::wire::TeamUseT(*teams_) : nullptr); }
-  partitions.reserve(o.partitions.size());
-  for (const auto &partitions_ : o.partitions) { partitions.emplace_back((partitions_) ? new mangovalve::wire::PartitionOwnerT(*partitions_) : nullptr); }
-}
-
-inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(host, o.host);
-  std::swap(domain, o.domain);
-  std::swap(incarnation, o.incarnation);
-  std::swap(sequence, o.sequence);
-  std::swap(document, o.document);
-  std::swap(endpoints, o.endpoints);
-  std::swap(queues, o.queues);
-  std::swap(teams, o.teams);
-  std::swap(partitions, o.partitions);
-  std::swap(leaving, o.leaving);
-  return *this;
-}
-
 inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LoadReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -706,10 +378,10 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = document(); _o->document = _e; }
-  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangovalve::wire::EndpointUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = std::unique_ptr<mangovalve::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<mangovalve::wire::TeamUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = std::unique_ptr<mangovalve::wire::PartitionOwnerT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = *_e->Get(_i); } } }
+  { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = *_e->Get(_i); } } }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
+  { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
   { auto _e = leaving(); _o->leaving = _e; }
 }
 
@@ -726,10 +398,10 @@
   auto _incarnation = _o->incarnation;
   auto _sequence = _o->sequence;
   auto _document = _o->document;
-  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::EndpointUse>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointUse(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _queues = _o->queues.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::ServiceQueue>> (_o->queues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->queues[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::TeamUse>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamUse(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _partitions = _o->partitions.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::PartitionOwner>> (_o->partitions.size(), [](size_t i, _VectorArgs *__va) { return CreatePartitionOwner(*__va->__fbb, __va->__o->partitions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVectorOfStructs(_o->endpoints) : 0;
+  auto _queues = _o->queues.size() ? _fbb.CreateVectorOfStructs(_o->queues) : 0;
+  auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
+  auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
   auto _leaving = _o->leaving;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
--- a/mangovalve/peer/report_exchange.cc
+++ b/mangovalve/peer/report_exchange.cc
@@ -14,8 +14,17 @@
 // against the 300 ms of a latency objective.
 constexpr auto kMinInterval = std::chrono::milliseconds(60);
 
-// Pause for each peer: 200 datagrams a second at most, about 0.2% of a core.
-constexpr auto kIntervalPerPeer = std::chrono::milliseconds(5);
+// Pause for each peer of the own domain: 400 datagrams a second at most, about
+// 0.4% of a core.
+constexpr auto kIntervalPerPeer = std::chrono::microseconds(2500);
+
+// The same for the peers of other domains, up to a limit: a peer that is not
+// heard for 1.5 s counts as silent.
+constexpr auto kIntervalPerFarPeer = std::chrono::milliseconds(12);
+constexpr auto kMaxFarInterval = std::chrono::milliseconds(700);
+
+// With urgent news, other domains hear at least this often.
+constexpr auto kUrgentInterval = std::chrono::milliseconds(150);
 
 // A report that says nothing new is sent this often, as a sign of life.
 constexpr auto kQuietInterval = std::chrono::milliseconds(400);
@@ -33,10 +42,14 @@
 
 } // namespace
 
-auto ReportInterval(std::size_t aPeers) -> Duration
+auto ReportInterval(std::size_t aPeers, bool aOwnDomain) -> Duration
 {
-  return std::max<Duration>(kMinInterval,
-                            kIntervalPerPeer * static_cast<int>(aPeers));
+  const auto count = static_cast<int>(aPeers);
+  if (aOwnDomain) {
+    return std::max<Duration>(kMinInterval, kIntervalPerPeer * count);
+  }
+  return std::clamp<Duration>(
+    kIntervalPerFarPeer * count, kMinInterval, kMaxFarInterval);
 }
 
 ReportExchange::ReportExchange(asio::io_context& aLoop,
@@ -65,7 +78,8 @@
   }
   if (!error) {
     Spawn(mLoop, Receive());
-    Spawn(mLoop, Send());
+    Spawn(mLoop, Send(true));
+    Spawn(mLoop, Send(false));
   }
   return error;
 }
@@ -108,7 +122,7 @@
   }
 }
 
-auto ReportExchange::Send() -> Task<>
+auto ReportExchange::Send(bool aOwnDomain) -> Task<>
 {
   std::string last;
   TimePoint lastSent{};
@@ -117,14 +131,18 @@
     report.incarnation = mIncarnation;
     auto packed = Pack(report);
     const auto now = Clock::now();
-    const auto peers = mPorts.mPeers();
+    const auto peers = mPorts.mPeers(aOwnDomain);
     if (packed != last || now >= lastSent + kQuietInterval) {
       last = std::move(packed);
       lastSent = now;
       report.sequence = ++mSequence;
       SendToAll(Pack(report), peers);
     }
-    co_await SleepUntil(now + ReportInterval(peers.size()));
+    auto interval = ReportInterval(peers.size(), aOwnDomain);
+    if (mPorts.mUrgent()) {
+      interval = std::min<Duration>(interval, kUrgentInterval);
+    }
+    co_await SleepUntil(now + interval);
   }
 }
 
--- a/mangovalve/peer/report_exchange.h
+++ b/mangovalve/peer/report_exchange.h
@@ -18,12 +18,18 @@
 struct ReportPorts
 {
   std::function<auto()->wire::LoadReportT> mOwnReport;
-  std::function<auto()->std::vector<std::string>> mPeers; // "IP:PORT"
+  // Addresses, "IP:PORT", of the peers in this host's failure domain, or of all
+  // others.
+  std::function<auto(bool aOwnDomain)->std::vector<std::string>> mPeers;
+  // Whether all must hear soon, e.g. because a team is near its rate.
+  std::function<auto()->bool> mUrgent;
   std::function<void(wire::LoadReportT)> mTake;
 };
 
-// Time between two reports of one daemon.
-auto ReportInterval(std::size_t aPeers) -> Duration;
+// Time between two reports of one daemon to so many peers. Peers of other
+// domains hear less often: they are chosen only when the own domain is full,
+// and bytes between domains are dear.
+auto ReportInterval(std::size_t aPeers, bool aOwnDomain) -> Duration;
 
 class ReportExchange
 {
@@ -38,7 +44,7 @@
 
 private:
   auto Receive() -> Task<>;
-  auto Send() -> Task<>;
+  auto Send(bool aOwnDomain) -> Task<>;
   auto SendToAll(const std::string& aDatagram,
                  const std::vector<std::string>& aPeers) -> void;
 
--- a/mangovalve/peer/state_copy_generated.h
+++ b/mangovalve/peer/state_copy_generated.h
@@ -113,7 +113,7 @@
   uint64_t document_version = 0;
   std::vector<uint8_t> document{};
   std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> endpoints{};
-  std::vector<std::string> hosts{};
+  std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> hosts{};
   StateCopyT() = default;
   StateCopyT(const StateCopyT &o);
   StateCopyT(StateCopyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -139,8 +139,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *endpoints() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *>(VT_ENDPOINTS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *hosts() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HOSTS);
+  const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *>(VT_HOSTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -152,7 +152,7 @@
            verifier.VerifyVectorOfTables(endpoints()) &&
            VerifyOffset(verifier, VT_HOSTS) &&
            verifier.VerifyVector(hosts()) &&
-           verifier.VerifyVectorOfStrings(hosts()) &&
+           verifier.VerifyVectorOfTables(hosts()) &&
            verifier.EndTable();
   }
   StateCopyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -173,7 +173,7 @@
   void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> endpoints) {
     fbb_.AddOffset(StateCopy::VT_ENDPOINTS, endpoints);
   }
-  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts) {
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts) {
     fbb_.AddOffset(StateCopy::VT_HOSTS, hosts);
   }
   explicit StateCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -192,7 +192,7 @@
     uint64_t document_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts = 0) {
   StateCopyBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
   builder_.add_hosts(hosts);
@@ -211,10 +211,10 @@
     uint64_t document_version = 0,
     const std::vector<uint8_t> *document = nullptr,
     const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr) {
+    const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts = nullptr) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*endpoints) : 0;
-  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
+  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*hosts) : 0;
   return mangovalve::wire::CreateStateCopy(
       _fbb,
       document_version,
@@ -256,10 +256,11 @@
 
 inline StateCopyT::StateCopyT(const StateCopyT &o)
       : document_version(o.document_version),
-        document(o.document),
-        hosts(o.hosts) {
+        document(o.document) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangovalve::wire::RecordCopyT(*endpoints_) : nullptr); }
+  hosts.reserve(o.hosts.size());
+  for (const auto &hosts_ : o.hosts) { hosts.emplace_back((hosts_) ? new mangovalve::wire::RecordCopyT(*hosts_) : nullptr); }
 }
 
 inline StateCopyT &StateCopyT::operator=(StateCopyT o) FLATBUFFERS_NOEXCEPT {
@@ -282,7 +283,7 @@
   { auto _e = document_version(); _o->document_version = _e; }
   { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<StateCopy> StateCopy::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateCopyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -296,7 +297,7 @@
   auto _document_version = _o->document_version;
   auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _hosts = _o->hosts.size() ? _fbb.CreateVectorOfStrings(_o->hosts) : 0;
+  auto _hosts = _o->hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return mangovalve::wire::CreateStateCopy(
       _fbb,
       _document_version,
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -35,22 +35,32 @@
 
 using RoomOf = std::function<auto(const PlacementCandidate&)->double>;
 
-// A random candidate, weighted by its room; nothing if none has room.
-auto DrawByRoom(std::span<const PlacementCandidate> aCandidates,
-                std::span<const std::size_t> aExcluded,
+// What a choice is made among.
+struct Choice
+{
+  std::span<const PlacementCandidate> mCandidates;
+  std::span<const std::size_t> mExcluded;
+  const PlacementPolicy& mPolicy;
+};
+
+// A random candidate of the own or of the other domains, weighted by its room;
+// nothing if none has more room than aMargin.
+auto DrawByRoom(const Choice& aChoice,
+                bool aOwnDomain,
                 const RoomOf& aRoom,
-                const PlacementPolicy& aPolicy,
+                double aMargin,
                 Random& aRandom) -> std::optional<std::size_t>
 {
-  std::vector<double> weights(aCandidates.size(), 0);
+  const auto candidates = aChoice.mCandidates;
+  std::vector<double> weights(candidates.size(), 0);
   auto total = 0.0;
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const auto room = aRoom(aCandidates[i]);
-    if (!aCandidates[i].mUsable || room <= 0 || IsExcluded(aExcluded, i)) {
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto room = aRoom(candidates[i]) - aMargin;
+    if (candidates[i].mOwnDomain != aOwnDomain || !candidates[i].mUsable ||
+        room <= 0 || IsExcluded(aChoice.mExcluded, i)) {
       continue;
     }
-    weights[i] = std::pow(room, aPolicy.mFreeSlotPower) *
-                 (aCandidates[i].mOwnDomain ? 1 : aPolicy.mOtherDomainWeight);
+    weights[i] = std::pow(room, aChoice.mPolicy.mFreeSlotPower);
     total += weights[i];
   }
   if (total <= 0) {
@@ -70,6 +80,16 @@
   return last;
 }
 
+// The own domain first, then the others with a margin.
+auto DrawNearFirst(const Choice& aChoice, const RoomOf& aRoom, Random& aRandom)
+  -> std::optional<std::size_t>
+{
+  const auto near = DrawByRoom(aChoice, true, aRoom, 0, aRandom);
+  return near ? near
+              : DrawByRoom(
+                  aChoice, false, aRoom, aChoice.mPolicy.mFarMargin, aRandom);
+}
+
 } // namespace
 
 auto PlaceOnline(std::span<const PlacementCandidate> aCandidates,
@@ -77,11 +97,14 @@
                  const PlacementPolicy& aPolicy,
                  Random& aRandom) -> std::optional<std::size_t>
 {
-  const auto free =
-    DrawByRoom(aCandidates, aExcluded, FreeSlots, aPolicy, aRandom);
-  return free ? free
-              : DrawByRoom(
-                  aCandidates, aExcluded, ReclaimableSlots, aPolicy, aRandom);
+  const Choice choice{ aCandidates, aExcluded, aPolicy };
+  if (const auto free = DrawNearFirst(choice, FreeSlots, aRandom)) {
+    return free;
+  }
+  if (const auto held = DrawByRoom(choice, true, ReclaimableSlots, 0, aRandom)) {
+    return held;
+  }
+  return DrawByRoom(choice, false, ReclaimableSlots, 0, aRandom);
 }
 
 auto PlaceBatch(std::span<const PlacementCandidate> aCandidates,
@@ -91,7 +114,7 @@
   const auto room = [&](const PlacementCandidate& aCandidate) {
     return FreeSlots(aCandidate) - aPolicy.mBatchHeadroom;
   };
-  return DrawByRoom(aCandidates, {}, room, aPolicy, aRandom);
+  return DrawNearFirst({ aCandidates, {}, aPolicy }, room, aRandom);
 }
 
 auto SpareForBatch(std::span<const PlacementCandidate> aCandidates,
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -32,9 +32,9 @@
   // Slots that batch leaves free on each endpoint, so that the first requests
   // of a burst need not wait for a batch item to stop.
   double mBatchHeadroom = 1;
-  // Weight of an endpoint in another domain: a request there costs twice the
-  // distance and priced bytes, which is little against waiting for a slot.
-  double mOtherDomainWeight = 0.5;
+  // Free slots that an endpoint of another domain must have to be chosen while
+  // the own domain has none: news from there is older.
+  double mFarMargin = 1;
   // Free slots are raised to this power: one endpoint with four free slots is
   // better than four with one, but hosts that decide on the same news must not
   // all choose the same endpoint.
--- a/mangovalve/routing/placement_test.cc
+++ b/mangovalve/routing/placement_test.cc
@@ -91,6 +91,23 @@
   }
 }
 
+TEST_CASE("the own domain goes first, others take what it has no slot for")
+{
+  // Bytes between domains are priced, and news from there is older.
+  Random random{ 10 };
+  auto near = Engine(7, 0);
+  auto far = Engine(0, 0);
+  far.mOwnDomain = false;
+  const std::array spacious = { near, far };
+  CHECK(PlaceOnline(spacious, {}, {}, random) == 0);
+  near.mBatch = 1;
+  const std::array full = { near, far };
+  CHECK(PlaceOnline(full, {}, {}, random) == 1);
+  far.mOnline = 7;
+  const std::array nearlyFull = { near, far };
+  CHECK(PlaceOnline(nearlyFull, {}, {}, random) == 0);
+}
+
 TEST_CASE("square wave: batch fills the trough and gives way at the edge")
 {
   // The load of both sites: 15 online requests in the trough and 75 at the
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -28,7 +28,7 @@
 constexpr FollowPolicy kFollowEndpoints{ milliseconds(500), false };
 
 // New hosts also make themselves known by their reports.
-constexpr FollowPolicy kFollowHosts{ std::chrono::seconds(2), false };
+constexpr FollowPolicy kFollowHosts{ std::chrono::seconds(4), false };
 
 constexpr auto kHouseInterval = milliseconds(200);
 constexpr auto kPeerTimeout = milliseconds(800);
@@ -48,7 +48,7 @@
 auto PeerLimits() -> CallerLimits
 {
   CallerLimits limits;
-  limits.mMaxBodyBytes = 64 * 1024 * 1024;
+  limits.mMaxBodyBytes = 64UL << 20U;
   limits.mIdleTimeout = milliseconds(30000);
   return limits;
 }
@@ -103,13 +103,16 @@
                 mJobs.AddClaims(report);
                 return report;
               },
-               [this] {
+               [this](bool aOwnDomain) {
                  std::vector<std::string> peers;
                  for (const auto& [host, peer] : mState.mFleet.mPeers) {
-                   peers.push_back(host);
+                   if ((peer.mDomain == mState.mDomain) == aOwnDomain) {
+                     peers.push_back(host);
+                   }
                  }
                  return peers;
                },
+               [this] { return AnyTeamNearItsRate(mState); },
                [this](wire::LoadReportT aReport) {
                  if (aReport.host != mState.mHost) {
                    TakeReport(mState, std::move(aReport), mIncarnation);
@@ -293,7 +296,8 @@
     if (aRecord.mValue.empty()) {
       RemovePeer(mState.mFleet, aRecord.mKey);
     } else if (ParseAddress(aRecord.mKey)) {
-      AddPeer(mState.mFleet, aRecord.mKey, Clock::now());
+      AddPeer(
+        mState.mFleet, aRecord.mKey, aRecord.mValue, Clock::now());
     }
   };
   const auto each = [](const auto& aTake) {
@@ -342,10 +346,17 @@
     record->value.assign(bytes.begin(), bytes.end());
     copy.endpoints.push_back(std::move(record));
   }
+  const auto addHost = [&](const std::string& aHost,
+                           const std::string& aDomain) {
+    auto record = std::make_unique<wire::RecordCopyT>();
+    record->key = aHost;
+    record->value.assign(aDomain.begin(), aDomain.end());
+    copy.hosts.push_back(std::move(record));
+  };
   for (const auto& [host, peer] : mState.mFleet.mPeers) {
-    copy.hosts.push_back(host);
+    addHost(host, peer.mDomain);
   }
-  copy.hosts.push_back(mState.mHost);
+  addHost(mState.mHost, mState.mDomain);
   return copy;
 }
 
@@ -371,8 +382,11 @@
     co_return;
   }
   for (const auto& host : copy->hosts) {
-    if (host != mState.mHost && ParseAddress(host)) {
-      AddPeer(mState.mFleet, host, Clock::now());
+    if (host->key != mState.mHost && ParseAddress(host->key)) {
+      AddPeer(mState.mFleet,
+              host->key,
+              std::string(host->value.begin(), host->value.end()),
+              Clock::now());
     }
   }
   if (mEndpointsLoaded || copy->endpoints.empty()) {
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -14,18 +14,18 @@
     aSum = aSign > 0 ? aSum + aValue : aSum - std::min(aSum, aValue);
   };
   for (const auto& use : aReport.endpoints) {
-    auto& sum = aFleet.mInFlight[use->endpoint];
-    apply(sum.mOnline, use->online);
-    apply(sum.mBatch, use->batch);
+    auto& sum = aFleet.mInFlight[use.endpoint()];
+    apply(sum.mOnline, use.online());
+    apply(sum.mBatch, use.batch());
     if (sum.mOnline == 0 && sum.mBatch == 0) {
-      aFleet.mInFlight.erase(use->endpoint);
+      aFleet.mInFlight.erase(use.endpoint());
     }
   }
   for (const auto& queue : aReport.queues) {
-    auto& sum = aFleet.mWaiting[queue->service];
-    apply(sum, queue->waiting);
+    auto& sum = aFleet.mWaiting[queue.service()];
+    apply(sum, queue.waiting());
     if (sum == 0) {
-      aFleet.mWaiting.erase(queue->service);
+      aFleet.mWaiting.erase(queue.service());
     }
   }
 }
@@ -40,10 +40,13 @@
 
 } // namespace
 
-auto AddPeer(FleetLoad& aFleet, const std::string& aHost, TimePoint aNow)
-  -> void
+auto AddPeer(FleetLoad& aFleet,
+             const std::string& aHost,
+             const std::string& aDomain,
+             TimePoint aNow) -> void
 {
   const auto [peer, added] = aFleet.mPeers.try_emplace(aHost);
+  peer->second.mDomain = aDomain;
   if (added) {
     peer->second.mHeardAt = aNow;
   }
@@ -72,6 +75,7 @@
     AddToSums(aFleet, peer.mLast, -1);
   }
   AddToSums(aFleet, aReport, 1);
+  peer.mDomain = aReport.domain;
   peer.mLast = std::move(aReport);
   peer.mHeardAt = aNow;
   peer.mSilent = false;
@@ -118,9 +122,9 @@
       continue;
     }
     for (const auto& claim : peer.mLast.partitions) {
-      if (claim->partition == aPartition &&
-          (!best || claim->generation > best->mGeneration)) {
-        best = OwnerClaim{ host, claim->generation };
+      if (claim.partition() == aPartition &&
+          (!best || claim.generation() > best->mGeneration)) {
+        best = OwnerClaim{ host, claim.generation() };
       }
     }
   }
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -29,6 +29,7 @@
 
 struct PeerState
 {
+  std::string mDomain;
   wire::LoadReportT mLast;
   TimePoint mHeardAt{};
   bool mSilent = true; // left out of the sums
@@ -44,8 +45,10 @@
 
 // Adds a host that is registered but has not been heard yet. It counts as if it
 // had last been heard now.
-auto AddPeer(FleetLoad& aFleet, const std::string& aHost, TimePoint aNow)
-  -> void;
+auto AddPeer(FleetLoad& aFleet,
+             const std::string& aHost,
+             const std::string& aDomain,
+             TimePoint aNow) -> void;
 auto RemovePeer(FleetLoad& aFleet, const std::string& aHost) -> void;
 
 // Takes a report in; false if it is older than the last one of that peer.
--- a/mangovalve/serving/fleet_load_test.cc
+++ b/mangovalve/serving/fleet_load_test.cc
@@ -22,14 +22,8 @@
   report.host = aHost;
   report.incarnation = aIncarnation;
   report.sequence = aSequence;
-  auto use = std::make_unique<wire::EndpointUseT>();
-  use->endpoint = 7;
-  use->online = aOnline;
-  report.endpoints.push_back(std::move(use));
-  auto queue = std::make_unique<wire::ServiceQueueT>();
-  queue->service = 9;
-  queue->waiting = aWaiting;
-  report.queues.push_back(std::move(queue));
+  report.endpoints.emplace_back(7, aOnline, 0);
+  report.queues.emplace_back(9, aWaiting);
   return report;
 }
 
@@ -80,10 +74,7 @@
   FleetLoad fleet;
   const auto claim = [&](const std::string& aHost, std::uint64_t aGeneration) {
     auto report = Report(aHost, 1, 1, 0, 0);
-    auto entry = std::make_unique<wire::PartitionOwnerT>();
-    entry->partition = 3;
-    entry->generation = aGeneration;
-    report.partitions.push_back(std::move(entry));
+    report.partitions.emplace_back(aGeneration, 3);
     ApplyReport(fleet, std::move(report), kNow);
   };
   CHECK_FALSE(OwnerOf(fleet, 3).has_value());
@@ -97,11 +88,11 @@
 TEST_CASE("a host that is registered but never heard does not count as heard")
 {
   FleetLoad fleet;
-  AddPeer(fleet, "a", kNow);
+  AddPeer(fleet, "a", "d", kNow);
   CHECK(fleet.mPeers.size() == 1);
   CHECK(HeardPeers(fleet) == 0);
   CHECK(ApplyReport(fleet, Report("a", 1, 1, 2, 0), kNow));
-  AddPeer(fleet, "a", kNow);
+  AddPeer(fleet, "a", "d", kNow);
   CHECK(HeardPeers(fleet) == 1);
 }
 
--- a/mangovalve/serving/settings.h
+++ b/mangovalve/serving/settings.h
@@ -22,8 +22,8 @@
   std::string mStore;     // IP:PORT of the platform's store
   std::vector<std::string> mSeeds; // daemons to ask when the store is away
   std::uint32_t mJobPartitions = 8;
-  std::size_t mMaxRecordBytes = 256 * 1024;
-  std::size_t mMaxCallBytes = 2 * 1024 * 1024;
+  std::size_t mMaxRecordBytes = 256UL << 10U;
+  std::size_t mMaxCallBytes = 2UL << 20U;
   // From a termination signal until the process is killed.
   std::chrono::milliseconds mTerminationGrace{ 8000 };
   // How long results stay readable after a job's submission.
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -20,6 +20,10 @@
 // intervals, so that lost datagrams do not count.
 constexpr auto kSilentAfter = std::chrono::milliseconds(1500);
 
+// Counts of admissions are reported this long after their last change: over
+// several reports, so that a lost datagram costs only time.
+constexpr auto kReportAdmissionsFor = std::chrono::seconds(4);
+
 // A silent peer stays registered this long: a short cut or freeze must not
 // give its part of the rates to the others.
 constexpr auto kForgetAfter = std::chrono::seconds(12);
@@ -83,8 +87,9 @@
 
 auto DropMissing(ServingState& aState) -> void
 {
-  for (auto& [service, pool] : aState.mPools) {
-    std::erase_if(pool.mEndpoints, [&](const EndpointPtr& aEndpoint) {
+  for (auto& entry : aState.mPools) {
+    const auto& service = entry.first;
+    std::erase_if(entry.second.mEndpoints, [&](const EndpointPtr& aEndpoint) {
       const auto& id = aEndpoint->mRegistration.mId;
       const auto found = aState.mDirectory.mEntries.find(id);
       const auto gone = found == aState.mDirectory.mEntries.end() ||
@@ -253,9 +258,9 @@
   }
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
-  absl::flat_hash_map<std::uint64_t, const wire::TeamUseT*> uses;
+  absl::flat_hash_map<std::uint64_t, const wire::TeamUse*> uses;
   for (const auto& use : report.teams) {
-    uses[use->team] = use.get();
+    uses[use.team()] = &use;
   }
   for (auto& [name, rate] : aState.mRates) {
     const auto use = uses.find(StableHash(name));
@@ -265,11 +270,11 @@
     NotePeer(rate,
              host,
              report.incarnation,
-             use->second->admitted,
-             startedLater && !back,
+             use->second->admitted(),
+             startedLater,
              now);
     if (back && !startedLater) {
-      LowerTo(rate, use->second->level);
+      LowerTo(rate, use->second->level());
     }
   }
   if (back) {
@@ -279,6 +284,15 @@
   WakeAllFirsts(aState);
 }
 
+auto AnyTeamNearItsRate(const ServingState& aState) -> bool
+{
+  return std::any_of(
+    aState.mRates.begin(), aState.mRates.end(), [](const auto& aRate) {
+      const auto& rate = aRate.second;
+      return rate.mRate > 0 && rate.mTokens < rate.mBurst / 2;
+    });
+}
+
 auto OwnReport(const ServingState& aState) -> wire::LoadReportT
 {
   wire::LoadReportT report;
@@ -288,27 +302,20 @@
   for (const auto& [service, pool] : aState.mPools) {
     for (const auto& endpoint : pool.mEndpoints) {
       if (endpoint->mOwn.mOnline + endpoint->mOwn.mBatch > 0) {
-        auto use = std::make_unique<wire::EndpointUseT>();
-        use->endpoint = endpoint->mHash;
-        use->online = endpoint->mOwn.mOnline;
-        use->batch = endpoint->mOwn.mBatch;
-        report.endpoints.push_back(std::move(use));
+        report.endpoints.emplace_back(
+          endpoint->mHash, endpoint->mOwn.mOnline, endpoint->mOwn.mBatch);
       }
     }
     if (!pool.mLine.empty()) {
-      auto queue = std::make_unique<wire::ServiceQueueT>();
-      queue->service = StableHash(service);
-      queue->waiting = static_cast<std::uint32_t>(pool.mLine.size());
-      report.queues.push_back(std::move(queue));
+      report.queues.emplace_back(
+        StableHash(service), static_cast<std::uint32_t>(pool.mLine.size()));
     }
   }
+  const auto changedAfter = Clock::now() - kReportAdmissionsFor;
   for (const auto& [name, rate] : aState.mRates) {
-    if (rate.mAdmitted > 0) {
-      auto use = std::make_unique<wire::TeamUseT>();
-      use->team = StableHash(name);
-      use->admitted = rate.mAdmitted;
-      use->level = rate.mTokens;
-      report.teams.push_back(std::move(use));
+    if (rate.mChangedAt > changedAfter) {
+      report.teams.emplace_back(
+        StableHash(name), rate.mAdmitted, static_cast<float>(rate.mTokens));
     }
   }
   return report;
@@ -321,7 +328,7 @@
     if (!peer.mSilent && peer.mHeardAt < aNow - kSilentAfter) {
       LogEvent(Severity::Warn, "peer_silent", { { "peer", host } });
       for (auto& [team, rate] : aState.mRates) {
-        ForgetPeer(rate, host);
+        RebasePeer(rate, host);
       }
     }
     if (peer.mHeardAt < aNow - kForgetAfter) {
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -137,6 +137,10 @@
                 wire::LoadReportT aReport,
                 std::uint64_t aOwnIncarnation) -> void;
 
+// Whether a team has used up half of its burst, so that the other hosts should
+// hear soon what is admitted here.
+auto AnyTeamNearItsRate(const ServingState& aState) -> bool;
+
 // This daemon's own report, without its partitions.
 auto OwnReport(const ServingState& aState) -> wire::LoadReportT;
 
--- a/mangovalve/serving/tables.h
+++ b/mangovalve/serving/tables.h
@@ -117,8 +117,8 @@
     mLeave;
 
   std::uint32_t mJobPartitions = 1;
-  std::size_t mMaxRecordBytes = 256 * 1024;
-  std::size_t mMaxCallBytes = 2 * 1024 * 1024;
+  std::size_t mMaxRecordBytes = 256UL << 10U;
+  std::size_t mMaxCallBytes = 2UL << 20U;
 };
 
 } // namespace mangovalve
--- a/standins/common/keyed_store.h
+++ b/standins/common/keyed_store.h
@@ -19,9 +19,9 @@
 struct StoreLimits
 {
   std::uint32_t mPartitions = 8; // of a new topic
-  std::size_t mRecordBytes = 256 * 1024;
-  std::size_t mCallBytes = 2 * 1024 * 1024;
-  std::size_t mTotalBytes = 400 * 1024 * 1024;
+  std::size_t mRecordBytes = 256UL << 10U;
+  std::size_t mCallBytes = 2UL << 20U;
+  std::size_t mTotalBytes = 400UL << 20U;
   Duration mRetention = std::chrono::seconds(300);
 };
 
--- a/standins/common/store_server.cc
+++ b/standins/common/store_server.cc
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kPageItems = 500;
-constexpr std::size_t kPageBytes = 1024 * 1024;
+constexpr std::size_t kPageBytes = 1024UL << 10U;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::size_t kLengthBytes = 4;
 
