--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -74,7 +74,7 @@
   }
 }
 
-auto ItemRunner::StopJob(const BatchJob& aJob) -> void
+auto ItemRunner::StopJob(const SubmittedJob& aJob) -> void
 {
   for (const auto& run : mRunning) {
     if (run->mItem.mJob.get() == &aJob) {
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -57,7 +57,7 @@
   auto Running() const -> std::size_t { return mRunning.size(); }
 
   // Stops the running items of a job.
-  auto StopJob(const BatchJob& aJob) -> void;
+  auto StopJob(const SubmittedJob& aJob) -> void;
 
   ItemRunnerPolicy mPolicy;
 
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -243,7 +243,7 @@
   co_return *aDurable;
 }
 
-auto JobPartition::Submit(BatchJobPtr aJob,
+auto JobPartition::Submit(SubmittedJobPtr aJob,
                           std::uint64_t aQueued,
                           std::uint64_t aLimit,
                           TimePoint aDeadline) -> Task<JobOutcome>
@@ -269,7 +269,7 @@
   co_return done ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
-auto JobPartition::End(BatchJobPtr aJob, TimePoint aDeadline)
+auto JobPartition::End(SubmittedJobPtr aJob, TimePoint aDeadline)
   -> Task<JobOutcome>
 {
   aJob->mEnded = true;
@@ -280,7 +280,7 @@
   co_return done ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
-auto JobPartition::Finish(BatchJobPtr aJob,
+auto JobPartition::Finish(SubmittedJobPtr aJob,
                           std::uint32_t aItem,
                           bool aCompleted,
                           std::string aOutput) -> void
@@ -302,13 +302,13 @@
   });
 }
 
-auto JobPartition::Drop(BatchJobPtr aJob) -> void
+auto JobPartition::Drop(SubmittedJobPtr aJob) -> void
 {
   mTable.mJobs.erase({ aJob->mTeam, aJob->mId });
   Enqueue(DropRecords(*aJob, mTables.mMaxRecordBytes), [] {});
 }
 
-auto JobPartition::WaitForResult(BatchJobPtr aJob,
+auto JobPartition::WaitForResult(SubmittedJobPtr aJob,
                                  std::uint32_t aPosition,
                                  TimePoint aUntil) -> Task<>
 {
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -48,25 +48,25 @@
 
   // Accepts a job once. aLimit: tokens that its team may have queued on the
   // route, 0 for no limit; aQueued: what it has queued.
-  auto Submit(BatchJobPtr aJob,
+  auto Submit(SubmittedJobPtr aJob,
               std::uint64_t aQueued,
               std::uint64_t aLimit,
               TimePoint aDeadline) -> Task<JobOutcome>;
 
   // Ends a job at its caller's wish.
-  auto End(BatchJobPtr aJob, TimePoint aDeadline) -> Task<JobOutcome>;
+  auto End(SubmittedJobPtr aJob, TimePoint aDeadline) -> Task<JobOutcome>;
 
   // Records the one result of an item; it is listed once the store has it.
-  auto Finish(BatchJobPtr aJob,
+  auto Finish(SubmittedJobPtr aJob,
               std::uint32_t aItem,
               bool aCompleted,
               std::string aOutput) -> void;
 
   // Forgets a job and drops its records.
-  auto Drop(BatchJobPtr aJob) -> void;
+  auto Drop(SubmittedJobPtr aJob) -> void;
 
   // Returns when the job may have a result at the position, or at aUntil.
-  auto WaitForResult(BatchJobPtr aJob,
+  auto WaitForResult(SubmittedJobPtr aJob,
                      std::uint32_t aPosition,
                      TimePoint aUntil) -> Task<>;
 
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -64,7 +64,7 @@
   return aVerb != JobVerb::Submit;
 }
 
-auto BodyOf(const BatchJob& aJob, const std::string& aItem)
+auto BodyOf(const SubmittedJob& aJob, const std::string& aItem)
   -> std::optional<std::string>
 {
   for (const auto& item : aJob.mItems) {
@@ -186,7 +186,7 @@
   for (;;) {
     co_await SleepUntil(Clock::now() + kDropInterval);
     for (const auto& [number, partition] : mPartitions) {
-      std::vector<BatchJobPtr> old;
+      std::vector<SubmittedJobPtr> old;
       for (const auto& [key, job] : partition->Jobs().mJobs) {
         const auto keepUntil =
           job->mSubmittedAt + mPolicy.mKeepResults + kKeepMargin;
@@ -235,11 +235,11 @@
          milliseconds(aQuestion.mQuery.wait_ms);
 }
 
-auto JobService::Ask(Question aQuestion) -> Task<JobReply>
+auto JobService::Ask(Question aQuestion) -> Task<JobResponse>
 {
   const auto number = PartitionOf(aQuestion.mTeam, mTables.mJobPartitions);
   const auto giveUpAt = Clock::now() + mPolicy.mOwnerWait;
-  JobReply reply;
+  JobResponse reply;
   for (;;) {
     const auto own = OwnPartition(number);
     const auto peer = OwnerOf(mState.mFleet, number);
@@ -265,7 +265,7 @@
 }
 
 auto JobService::AskPeer(const std::string& aHost, const Question& aQuestion)
-  -> Task<JobReply>
+  -> Task<JobResponse>
 {
   const auto* path = kPeerPaths[static_cast<std::size_t>(aQuestion.mVerb)];
   Request request(http::verb::post, path, 11);
@@ -275,7 +275,7 @@
                      : PackTable<wire::JobQuery>(aQuestion.mQuery);
   auto response = co_await CallOnce(
     mState.mPool, aHost, std::move(request), CallDeadline(aQuestion));
-  JobReply reply;
+  JobResponse reply;
   if (!response) {
     reply.mOutcome = response.error() == CallError::NotSent
                        ? JobOutcome::NotDone
@@ -300,7 +300,7 @@
 }
 
 auto JobService::Answer(JobPartitionPtr aPartition, Question aQuestion)
-  -> Task<JobReply>
+  -> Task<JobResponse>
 {
   if (aQuestion.mVerb == JobVerb::Submit) {
     co_return co_await AnswerSubmit(aPartition, std::move(aQuestion.mJob));
@@ -310,9 +310,9 @@
 }
 
 auto JobService::AnswerSubmit(JobPartitionPtr aPartition, wire::JobT aJob)
-  -> Task<JobReply>
+  -> Task<JobResponse>
 {
-  JobReply reply;
+  JobResponse reply;
   const auto document = mState.mDocument;
   const auto* route =
     document ? FindRoute(*document, aJob.host, aJob.path) : nullptr;
@@ -341,9 +341,9 @@
 
 auto JobService::AnswerQuery(JobPartitionPtr aPartition,
                              JobVerb aVerb,
-                             wire::JobQueryT aQuery) -> Task<JobReply>
+                             wire::JobQueryT aQuery) -> Task<JobResponse>
 {
-  JobReply reply;
+  JobResponse reply;
   const auto job = FindJob(aPartition->Jobs(), aQuery.team, aQuery.job);
   if (!job || !job->mDurable) {
     // Another daemon may have taken the partition over and accepted it there.
@@ -409,7 +409,7 @@
              "job_malformed",
              { { "job", aFacts.mId }, { "reason", submission.error() } });
     co_await aCaller->Reply(
-      mProtocol.mRefuse(Refusal::Malformed, aFacts.mId, std::nullopt));
+      mProtocol.mRefuse(RefusalReason::Malformed, aFacts.mId, std::nullopt));
     co_return;
   }
   Question question;
@@ -447,7 +447,7 @@
     question.mQuery = std::move(*query);
     valid = true;
   }
-  JobReply reply;
+  JobResponse reply;
   const auto own =
     OwnPartition(PartitionOf(question.mTeam, mTables.mJobPartitions));
   if (!valid || !own) {
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -76,15 +76,16 @@
   auto TakeShare(const GroupShare& aShare) -> void;
   auto DropOldJobs() -> Task<>;
   auto LeaseHolds() const -> bool;
-  auto Ask(Question aQuestion) -> Task<JobReply>;
+  auto Ask(Question aQuestion) -> Task<JobResponse>;
   auto AskPeer(const std::string& aHost, const Question& aQuestion)
-    -> Task<JobReply>;
-  auto Answer(JobPartitionPtr aPartition, Question aQuestion) -> Task<JobReply>;
+    -> Task<JobResponse>;
+  auto Answer(JobPartitionPtr aPartition, Question aQuestion)
+    -> Task<JobResponse>;
   auto AnswerSubmit(JobPartitionPtr aPartition, wire::JobT aJob)
-    -> Task<JobReply>;
+    -> Task<JobResponse>;
   auto AnswerQuery(JobPartitionPtr aPartition,
                    JobVerb aVerb,
-                   wire::JobQueryT aQuery) -> Task<JobReply>;
+                   wire::JobQueryT aQuery) -> Task<JobResponse>;
   auto OwnPartition(std::uint32_t aPartition) const -> JobPartitionPtr;
   auto RunnablePartitions() const -> std::vector<JobPartitionPtr>;
   auto Owners() const -> std::size_t;
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -21,7 +21,7 @@
   return absl::StrFormat("%016x/%s", StableHash(aTeam), aId);
 }
 
-auto JobKeyText(const BatchJob& aJob) -> std::string
+auto JobKeyText(const SubmittedJob& aJob) -> std::string
 {
   return JobKeyText(aJob.mTeam, aJob.mId);
 }
@@ -62,7 +62,7 @@
   return joined;
 }
 
-auto LoadBodies(BatchJob& aJob, const Records& aRecords) -> void
+auto LoadBodies(SubmittedJob& aJob, const Records& aRecords) -> void
 {
   const auto key = JobKeyText(aJob);
   for (std::size_t i = 0; i < aJob.mItems.size(); ++i) {
@@ -77,7 +77,7 @@
   }
 }
 
-auto LoadResults(BatchJob& aJob, const Records& aRecords) -> void
+auto LoadResults(SubmittedJob& aJob, const Records& aRecords) -> void
 {
   const auto key = JobKeyText(aJob);
   for (;; ++aJob.mNextPosition) {
@@ -118,15 +118,15 @@
 
 auto FindJob(const JobTable& aTable,
              const std::string& aTeam,
-             const std::string& aId) -> BatchJobPtr
+             const std::string& aId) -> SubmittedJobPtr
 {
   const auto found = aTable.mJobs.find({ aTeam, aId });
   return found == aTable.mJobs.end() ? nullptr : found->second;
 }
 
-auto MakeJob(wire::JobT aSubmission) -> BatchJobPtr
+auto MakeJob(wire::JobT aSubmission) -> SubmittedJobPtr
 {
-  auto job = std::make_shared<BatchJob>();
+  auto job = std::make_shared<SubmittedJob>();
   job->mTeam = std::move(aSubmission.team);
   job->mId = std::move(aSubmission.id);
   job->mHost = std::move(aSubmission.host);
@@ -163,7 +163,7 @@
   return tokens;
 }
 
-auto TotalTokens(const BatchJob& aJob) -> std::uint64_t
+auto TotalTokens(const SubmittedJob& aJob) -> std::uint64_t
 {
   std::uint64_t tokens = 0;
   for (const auto& item : aJob.mItems) {
@@ -172,13 +172,14 @@
   return tokens;
 }
 
-auto IsOver(const BatchJob& aJob) -> bool
+auto IsOver(const SubmittedJob& aJob) -> bool
 {
   return aJob.mEnded || aJob.mResults.size() == aJob.mItems.size();
 }
 
-auto PageOf(const BatchJob& aJob, std::uint32_t aAfter, std::size_t aMaxBytes)
-  -> wire::ResultPageT
+auto PageOf(const SubmittedJob& aJob,
+            std::uint32_t aAfter,
+            std::size_t aMaxBytes) -> wire::ResultPageT
 {
   wire::ResultPageT page;
   page.total = static_cast<std::uint32_t>(aJob.mItems.size());
@@ -260,7 +261,7 @@
   return items;
 }
 
-auto JobRecord(const BatchJob& aJob, std::size_t aMaxRecord) -> KeyedRecord
+auto JobRecord(const SubmittedJob& aJob, std::size_t aMaxRecord) -> KeyedRecord
 {
   wire::JobT record;
   record.team = aJob.mTeam;
@@ -287,7 +288,7 @@
            0 };
 }
 
-auto JobRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+auto JobRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>
 {
   const auto piece = aMaxRecord - kRecordOverhead;
@@ -308,7 +309,7 @@
   return records;
 }
 
-auto ResultRecords(const BatchJob& aJob,
+auto ResultRecords(const SubmittedJob& aJob,
                    std::uint32_t aPosition,
                    const BatchResult& aResult,
                    std::size_t aMaxRecord) -> std::vector<KeyedRecord>
@@ -340,7 +341,7 @@
   return records;
 }
 
-auto DropRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+auto DropRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>
 {
   std::vector<KeyedRecord> records{ JobRecord(aJob, aMaxRecord) };
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -40,7 +40,7 @@
   std::string mOutput;
 };
 
-struct BatchJob
+struct SubmittedJob
 {
   std::string mTeam;
   std::string mId;
@@ -54,11 +54,12 @@
   std::uint32_t mNextPosition = 0;   // of the next result to be stored
 };
 
-using BatchJobPtr = std::shared_ptr<BatchJob>;
+using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
 
 struct JobTable
 {
-  std::map<std::pair<std::string, std::string>, BatchJobPtr> mJobs; // team, id
+  std::map<std::pair<std::string, std::string>, SubmittedJobPtr>
+    mJobs; // team, id
 };
 
 // Partition of a team's jobs. All jobs of a team share one, so that its owner
@@ -68,9 +69,9 @@
 
 auto FindJob(const JobTable& aTable,
              const std::string& aTeam,
-             const std::string& aId) -> BatchJobPtr;
+             const std::string& aId) -> SubmittedJobPtr;
 
-auto MakeJob(wire::JobT aSubmission) -> BatchJobPtr;
+auto MakeJob(wire::JobT aSubmission) -> SubmittedJobPtr;
 
 // Tokens of a team's items on a route that are neither finished nor ended.
 auto QueuedTokens(const JobTable& aTable,
@@ -78,20 +79,21 @@
                   const std::string& aTeam,
                   const std::string& aRoute) -> std::uint64_t;
 
-auto TotalTokens(const BatchJob& aJob) -> std::uint64_t;
+auto TotalTokens(const SubmittedJob& aJob) -> std::uint64_t;
 
 // Whether every item has its listed result, or the caller has ended the job.
-auto IsOver(const BatchJob& aJob) -> bool;
+auto IsOver(const SubmittedJob& aJob) -> bool;
 
 // A page of results from position aAfter on, of about aMaxBytes; at least one
 // if there is one.
-auto PageOf(const BatchJob& aJob, std::uint32_t aAfter, std::size_t aMaxBytes)
-  -> wire::ResultPageT;
+auto PageOf(const SubmittedJob& aJob,
+            std::uint32_t aAfter,
+            std::size_t aMaxBytes) -> wire::ResultPageT;
 
 // An item that may run now.
 struct RunnableItem
 {
-  BatchJobPtr mJob;
+  SubmittedJobPtr mJob;
   std::uint32_t mIndex = 0;
   WallTime mDue;
 };
@@ -112,20 +114,20 @@
 // Records of the store.
 
 // The records of a job: its bodies, then the job itself, which makes it valid.
-auto JobRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+auto JobRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>;
 
 // The job's own record, without bodies.
-auto JobRecord(const BatchJob& aJob, std::size_t aMaxRecord) -> KeyedRecord;
+auto JobRecord(const SubmittedJob& aJob, std::size_t aMaxRecord) -> KeyedRecord;
 
 // The records of a result at a position; they also drop the item's body.
-auto ResultRecords(const BatchJob& aJob,
+auto ResultRecords(const SubmittedJob& aJob,
                    std::uint32_t aPosition,
                    const BatchResult& aResult,
                    std::size_t aMaxRecord) -> std::vector<KeyedRecord>;
 
 // Drops all records of a job.
-auto DropRecords(const BatchJob& aJob, std::size_t aMaxRecord)
+auto DropRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>;
 
 // Rebuilds the table from the newest record of each key. Records without their
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -32,7 +32,7 @@
   return document;
 }
 
-auto Submission(const std::string& aId, std::size_t aItems) -> BatchJobPtr
+auto Submission(const std::string& aId, std::size_t aItems) -> SubmittedJobPtr
 {
   wire::JobT job;
   job.team = "team";
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -129,9 +129,9 @@
   mStream.close();
 }
 
-HttpServer::HttpServer(asio::io_context& aLoop,
-                       Handler aHandler,
-                       std::function<auto()->CallerLimits> aLimits)
+AsyncHttpServer::AsyncHttpServer(asio::io_context& aLoop,
+                                 Handler aHandler,
+                                 std::function<auto()->CallerLimits> aLimits)
   : mLoop(aLoop)
   , mHandler(std::move(aHandler))
   , mLimits(std::move(aLimits))
@@ -139,7 +139,7 @@
 {
 }
 
-auto HttpServer::Listen(const std::string& aAddress) -> ErrorCode
+auto AsyncHttpServer::Listen(const std::string& aAddress) -> ErrorCode
 {
   const auto endpoint = ParseAddress(aAddress);
   if (!endpoint) {
@@ -162,7 +162,7 @@
   return error;
 }
 
-auto HttpServer::Accept() -> Task<>
+auto AsyncHttpServer::Accept() -> Task<>
 {
   while (mAcceptor.is_open()) {
     ErrorCode error;
@@ -178,7 +178,7 @@
   }
 }
 
-auto HttpServer::Serve(CallerPtr aCaller) -> Task<>
+auto AsyncHttpServer::Serve(CallerPtr aCaller) -> Task<>
 {
   mCallers.insert(aCaller);
   aCaller->mClosing = mClosing;
@@ -193,7 +193,7 @@
   aCaller->mStream.close();
 }
 
-auto HttpServer::ServeOne(CallerPtr aCaller) -> Task<bool>
+auto AsyncHttpServer::ServeOne(CallerPtr aCaller) -> Task<bool>
 {
   const auto limits = mLimits();
   auto& caller = *aCaller;
@@ -249,7 +249,7 @@
   co_return !caller.mGone && !caller.mClosing;
 }
 
-auto HttpServer::Watch(CallerPtr aCaller) -> Task<>
+auto AsyncHttpServer::Watch(CallerPtr aCaller) -> Task<>
 {
   auto& socket = aCaller->mStream.socket();
   ErrorCode error;
@@ -271,7 +271,7 @@
   }
 }
 
-auto HttpServer::CloseAfterAnswers() -> void
+auto AsyncHttpServer::CloseAfterAnswers() -> void
 {
   mClosing = true;
   for (const auto& caller : mCallers) {
@@ -279,7 +279,7 @@
   }
 }
 
-auto HttpServer::CloseIdle() -> void
+auto AsyncHttpServer::CloseIdle() -> void
 {
   for (const auto& caller : mCallers) {
     if (caller->mIdle) {
@@ -288,7 +288,7 @@
   }
 }
 
-auto HttpServer::StopAccepting() -> void
+auto AsyncHttpServer::StopAccepting() -> void
 {
   ErrorCode ignored; // it may be closed already
   mAcceptor.close(ignored);
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -56,7 +56,7 @@
   TimePoint mArrivedAt{};
 
 private:
-  friend class HttpServer;
+  friend class AsyncHttpServer;
 
   auto Write(std::string aBytes) -> Task<bool>;
 
@@ -72,14 +72,14 @@
 using CallerPtr = std::shared_ptr<Caller>;
 using Handler = std::function<Task<>(CallerPtr, std::shared_ptr<Request>)>;
 
-class HttpServer
+class AsyncHttpServer
 {
 public:
   // aLimits is asked for each request, since a new configuration may change
   // them.
-  HttpServer(asio::io_context& aLoop,
-             Handler aHandler,
-             std::function<auto()->CallerLimits> aLimits);
+  AsyncHttpServer(asio::io_context& aLoop,
+                  Handler aHandler,
+                  std::function<auto()->CallerLimits> aLimits);
 
   // Listens on "IP:PORT" and serves until the loop stops.
   auto Listen(const std::string& aAddress) -> ErrorCode;
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -70,7 +70,7 @@
 struct Slot
 {
   EndpointPtr mEndpoint;
-  Refusal mRefusal = Refusal::Overloaded; // without an endpoint
+  RefusalReason mRefusal = RefusalReason::Overloaded; // without an endpoint
   std::optional<milliseconds> mRetryAfter;
 };
 
@@ -78,7 +78,7 @@
 class LinePlace
 {
 public:
-  LinePlace(ServicePool& aPool, Waiter aWaiter)
+  LinePlace(ServicePool& aPool, QueuedRequest aWaiter)
     : mPool(aPool)
     , mWaiter(aWaiter)
   {
@@ -99,7 +99,7 @@
 
 private:
   ServicePool& mPool;
-  Waiter mWaiter;
+  QueuedRequest mWaiter;
 };
 
 // Runs one exchange; holds what its steps share.
@@ -147,7 +147,7 @@
   auto MayTryElsewhereAfterRun() const -> bool;
   auto FirstByteDeadline() const -> TimePoint;
   auto GapDeadline() const -> TimePoint;
-  auto Finish(Refusal aRefusal, std::optional<milliseconds> aRetryAfter)
+  auto Finish(RefusalReason aRefusal, std::optional<milliseconds> aRetryAfter)
     -> Task<>;
   auto Log(std::string_view aOutcome) const -> void;
   auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
@@ -249,7 +249,7 @@
 {
   Wakeup wakeup(mState.mLoop);
   const LinePlace place(
-    aPool, Waiter{ mExchange.mPriority, mState.mNextWaiter++, &wakeup });
+    aPool, QueuedRequest{ mExchange.mPriority, mState.mNextWaiter++, &wakeup });
   mExchange.mCaller->mOnGone = [&wakeup] { wakeup.Give(); };
   EndpointPtr endpoint;
   while (!endpoint && Clock::now() < aGiveUpAt && !mExchange.mCaller->Gone()) {
@@ -266,7 +266,7 @@
 {
   const auto found = mState.mPools.find(mExchange.mService);
   if (found == mState.mPools.end() || found->second.mEndpoints.empty()) {
-    co_return Slot{ nullptr, Refusal::Overloaded, kDefaultRetryAfter };
+    co_return Slot{ nullptr, RefusalReason::Overloaded, kDefaultRetryAfter };
   }
   auto& pool = found->second;
   if (pool.mLine.empty()) {
@@ -286,10 +286,10 @@
   const auto retryAfter = std::chrono::duration_cast<milliseconds>(
     std::max<Duration>(wait, kDefaultRetryAfter));
   if (now + wait > giveUpAt) {
-    co_return Slot{ nullptr, Refusal::Overloaded, retryAfter };
+    co_return Slot{ nullptr, RefusalReason::Overloaded, retryAfter };
   }
   auto endpoint = co_await WaitInLine(pool, giveUpAt);
-  co_return Slot{ std::move(endpoint), Refusal::Overloaded, retryAfter };
+  co_return Slot{ std::move(endpoint), RefusalReason::Overloaded, retryAfter };
 }
 
 auto Runner::Run() -> Task<>
@@ -302,7 +302,7 @@
     }
     if (!slot.mEndpoint) {
       const auto ran = mExchange.mAttempts > 0;
-      co_await Finish(ran ? Refusal::EndpointFailed : slot.mRefusal,
+      co_await Finish(ran ? RefusalReason::EndpointFailed : slot.mRefusal,
                       slot.mRetryAfter);
       co_return;
     }
@@ -320,20 +320,20 @@
     if (!again) {
       const auto notRun = mExchange.mAttempts == 0;
       const auto late = Clock::now() >= mExchange.mDeadline;
-      co_await Finish(notRun ? Refusal::Overloaded
-                      : late ? Refusal::TimedOut
-                             : Refusal::EndpointFailed,
+      co_await Finish(notRun ? RefusalReason::Overloaded
+                      : late ? RefusalReason::TimedOut
+                             : RefusalReason::EndpointFailed,
                       kDefaultRetryAfter);
       co_return;
     }
   }
 }
 
-auto Runner::Finish(Refusal aRefusal, std::optional<milliseconds> aRetryAfter)
-  -> Task<>
+auto Runner::Finish(RefusalReason aRefusal,
+                    std::optional<milliseconds> aRetryAfter) -> Task<>
 {
-  const auto notRun =
-    aRefusal == Refusal::Overloaded || aRefusal == Refusal::NotReady;
+  const auto notRun = aRefusal == RefusalReason::Overloaded ||
+                      aRefusal == RefusalReason::NotReady;
   if (notRun && mExchange.mAttempts == 0) {
     const auto rate = mState.mRates.find(mExchange.mTeam);
     if (rate != mState.mRates.end()) {
@@ -619,7 +619,7 @@
   Admission admission;
   admission.mRoute = FindRoute(aDocument, aFacts.mHost, aFacts.mPath);
   if (admission.mRoute == nullptr) {
-    admission.mRefusal = Refusal::NoRoute;
+    admission.mRefusal = RefusalReason::NoRoute;
     return admission;
   }
   if (!aDocument.mKeysRequired || admission.mRoute->mPublic) {
@@ -627,7 +627,7 @@
   }
   const auto team = aDocument.mTeamOfKey.find(aFacts.mKey);
   if (team == aDocument.mTeamOfKey.end()) {
-    admission.mRefusal = Refusal::UnknownKey;
+    admission.mRefusal = RefusalReason::UnknownKey;
   } else {
     admission.mTeam = team->second;
   }
@@ -653,7 +653,7 @@
   exchange.mFacts = mProtocol.mReadCall(aRequest->base());
   exchange.mRequest = std::move(aRequest);
   exchange.mDocument = mState.mDocument;
-  const auto refuse = [&](Refusal aRefusal,
+  const auto refuse = [&](RefusalReason aRefusal,
                           std::optional<milliseconds> aRetryAfter) {
     LogEvent(Severity::Info,
              "request_refused",
@@ -666,7 +666,7 @@
       mProtocol.mRefuse(aRefusal, exchange.mFacts.mId, aRetryAfter));
   };
   if (!exchange.mDocument) {
-    co_await refuse(Refusal::NotReady, kDefaultRetryAfter);
+    co_await refuse(RefusalReason::NotReady, kDefaultRetryAfter);
     co_return;
   }
   const auto admission = CheckCall(*exchange.mDocument, exchange.mFacts);
@@ -680,7 +680,7 @@
   const auto now = Clock::now();
   if (rate != mState.mRates.end() && !Admit(rate->second, now)) {
     const auto wait = NextTokenAt(rate->second, now) - now;
-    co_await refuse(Refusal::OverRate,
+    co_await refuse(RefusalReason::OverRate,
                     std::chrono::duration_cast<milliseconds>(wait));
     co_return;
   }
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -60,7 +60,7 @@
 {
   const ServingRoute* mRoute = nullptr; // valid while the document lives
   std::string mTeam;
-  std::optional<Refusal> mRefusal;
+  std::optional<RefusalReason> mRefusal;
 };
 
 // Route and key of a call; decides nothing about rates.
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -131,7 +131,7 @@
 
 auto ServingDaemon::Start() -> Result<void, std::string>
 {
-  const auto bind = [](HttpServer& aServer, const std::string& aAddress) {
+  const auto bind = [](AsyncHttpServer& aServer, const std::string& aAddress) {
     const auto error =
       aAddress.empty() ? ErrorCode{} : aServer.Listen(aAddress);
     return error ? absl::StrCat(
@@ -207,7 +207,7 @@
   const auto team = document.mTeamOfKey.find(aFacts.mKey);
   if (document.mKeysRequired && team == document.mTeamOfKey.end()) {
     co_await aCaller->Reply(
-      mProtocol.mRefuse(Refusal::UnknownKey, aFacts.mId, std::nullopt));
+      mProtocol.mRefuse(RefusalReason::UnknownKey, aFacts.mId, std::nullopt));
     co_return;
   }
   const auto name = document.mKeysRequired ? team->second : std::string();
@@ -296,8 +296,7 @@
     if (aRecord.mValue.empty()) {
       RemovePeer(mState.mFleet, aRecord.mKey);
     } else if (ParseAddress(aRecord.mKey)) {
-      AddPeer(
-        mState.mFleet, aRecord.mKey, aRecord.mValue, Clock::now());
+      AddPeer(mState.mFleet, aRecord.mKey, aRecord.mValue, Clock::now());
     }
   };
   const auto each = [](const auto& aTake) {
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -79,10 +79,10 @@
   TablePorts mTables;
   Relay mRelay;
   JobService mJobs;
-  HttpServer mCallers;
-  HttpServer mReadiness;
-  HttpServer mPeers;
-  HttpServer mOperators;
+  AsyncHttpServer mCallers;
+  AsyncHttpServer mReadiness;
+  AsyncHttpServer mPeers;
+  AsyncHttpServer mOperators;
   std::uint64_t mIncarnation;
   ReportExchange mReports;
   std::string mDocumentBytes; // as the store had them, for other daemons
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -83,14 +83,14 @@
   NotOwner,  // ask another daemon
 };
 
-struct JobReply
+struct JobResponse
 {
   JobOutcome mOutcome = JobOutcome::NotDone;
   wire::ResultPageT mPage; // Results
   std::string mBody;       // Body
 };
 
-enum class Refusal
+enum class RefusalReason
 {
   Malformed,
   UnknownKey,
@@ -111,7 +111,7 @@
   std::function<auto(const ResponseHead&)->AnswerFacts> mReadAnswer;
   // An endpoint's head as the caller gets it.
   std::function<auto(const ResponseHead&)->ResponseHead> mCallerHead;
-  std::function<auto(Refusal,
+  std::function<auto(RefusalReason,
                      const std::string& aId,
                      std::optional<std::chrono::milliseconds> aRetryAfter)
                   ->Response>
@@ -123,7 +123,7 @@
   std::function<auto(const Request&)->Result<wire::JobT, std::string>>
     mReadSubmission;
   std::function<
-    auto(JobVerb, const JobReply&, const std::string& aId)->Response>
+    auto(JobVerb, const JobResponse&, const std::string& aId)->Response>
     mJobAnswer;
   // An item as it goes to an endpoint.
   std::function<
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -307,8 +307,8 @@
       }
     }
     if (!pool.mLine.empty()) {
-      report.queues.emplace_back(
-        StableHash(service), static_cast<std::uint32_t>(pool.mLine.size()));
+      report.queues.emplace_back(StableHash(service),
+                                 static_cast<std::uint32_t>(pool.mLine.size()));
     }
   }
   const auto changedAfter = Clock::now() - kReportAdmissionsFor;
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -41,13 +41,13 @@
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
 // A request that waits for an endpoint, in order of priority, then arrival.
-struct Waiter
+struct QueuedRequest
 {
   int mPriority = 0;
   std::uint64_t mNumber = 0;
   Wakeup* mWakeup = nullptr;
 
-  auto operator<(const Waiter& aOther) const -> bool
+  auto operator<(const QueuedRequest& aOther) const -> bool
   {
     return mPriority != aOther.mPriority ? mPriority < aOther.mPriority
                                          : mNumber < aOther.mNumber;
@@ -57,7 +57,7 @@
 struct ServicePool
 {
   std::vector<EndpointPtr> mEndpoints;
-  std::set<Waiter> mLine;
+  std::set<QueuedRequest> mLine;
   double mMeanSeconds = 0; // of online requests at an endpoint; 0: unknown
 };
 
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -68,7 +68,7 @@
   auto Stream(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   auto Head(const Request& aRequest, unsigned aStatus) const -> ResponseHead;
 
-  HttpServer mServer;
+  AsyncHttpServer mServer;
 };
 
 // The data of event aNumber of the request, the same at every endpoint.
--- a/standins/common/store_server.h
+++ b/standins/common/store_server.h
@@ -67,7 +67,7 @@
   auto Send(Caller& aCaller, Response aResponse) -> Task<>;
 
   asio::io_context& mLoop;
-  HttpServer mServer;
+  AsyncHttpServer mServer;
   Random mRandom;
   std::set<asio::steady_timer*> mReaders; // held reads, woken by appends
 };
