--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -20,6 +20,16 @@
 // them with it.
 constexpr std::size_t kBytesPerAppend = 512UL << 10U;
 
+// The start of a process in tenths of a second takes the low bits of a token.
+// Tokens then stay below 2^53, the whole numbers that JSON can hold, for
+// 131,072 generations.
+constexpr auto kStartBits = 36U;
+constexpr auto kStartUnit = std::chrono::milliseconds(100);
+
+// Step over tokens of a process whose clock was ahead: about seven minutes.
+constexpr std::uint64_t kFenceStep = 4096;
+constexpr int kFenceTries = 3;
+
 auto BytesOf(const std::vector<KeyedRecord>& aRecords) -> std::size_t
 {
   std::size_t bytes = 0;
@@ -31,14 +41,24 @@
 
 } // namespace
 
+auto FenceToken(std::uint64_t aGeneration, WallTime aStartedAt) -> std::uint64_t
+{
+  const auto start =
+    static_cast<std::uint64_t>(aStartedAt.time_since_epoch() / kStartUnit);
+  return (aGeneration << kStartBits) |
+         (start & ((std::uint64_t{ 1 } << kStartBits) - 1));
+}
+
 JobPartition::JobPartition(asio::io_context& aLoop,
                            const TablePorts& aTables,
                            std::uint32_t aPartition,
-                           std::uint64_t aGeneration)
+                           std::uint64_t aGeneration,
+                           WallTime aStartedAt)
   : mLoop(aLoop)
   , mTables(aTables)
   , mPartition(aPartition)
   , mGeneration(aGeneration)
+  , mToken(FenceToken(aGeneration, aStartedAt))
   , mQueued(aLoop)
 {
 }
@@ -85,8 +105,7 @@
 {
   // Without records, the append only sets the fence's token. After it no
   // former owner can write, so what is loaded next stays complete.
-  const std::vector<KeyedRecord> none;
-  const auto fenced = co_await AppendUntilDurable(none);
+  const auto fenced = co_await SetFence();
   if (!fenced) {
     co_return false;
   }
@@ -100,6 +119,21 @@
   co_return false;
 }
 
+auto JobPartition::SetFence() -> Task<bool>
+{
+  const std::vector<KeyedRecord> none;
+  for (auto tries = 0; tries < kFenceTries && !mStopped; ++tries) {
+    const auto set = co_await AppendUntilDurable(none);
+    if (set) {
+      co_return true;
+    }
+    // The process before this one may have started at a later wall time, if
+    // the clock was set back. Owners of later generations stay above this.
+    mToken += kFenceStep;
+  }
+  co_return false;
+}
+
 auto JobPartition::LoadPages() -> Task<bool>
 {
   std::vector<KeyedRecord> records;
@@ -128,7 +162,7 @@
   while (!mStopped || !aRecords.empty()) {
     auto records = aRecords;
     std::optional<WriterFence> fence(
-      WriterFence{ kWriterName, mGeneration, sequence });
+      WriterFence{ kWriterName, mToken, sequence });
     const auto result = co_await mTables.mAppend(Table::Jobs,
                                                  mPartition,
                                                  std::move(records),
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -27,10 +27,12 @@
 class JobPartition : public std::enable_shared_from_this<JobPartition>
 {
 public:
+  // aStartedAt: when this process started.
   JobPartition(asio::io_context& aLoop,
                const TablePorts& aTables,
                std::uint32_t aPartition,
-               std::uint64_t aGeneration);
+               std::uint64_t aGeneration,
+               WallTime aStartedAt);
 
   // Fences former owners, loads the jobs, then appends records until it is
   // stopped or fenced itself.
@@ -79,6 +81,7 @@
   };
 
   auto Open() -> Task<bool>;
+  auto SetFence() -> Task<bool>;
   auto LoadPages() -> Task<bool>;
   auto AppendQueued() -> Task<>;
   auto AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
@@ -95,6 +98,7 @@
   const TablePorts& mTables;
   std::uint32_t mPartition;
   std::uint64_t mGeneration;
+  std::uint64_t mToken; // of the fence; see FenceToken
   std::uint64_t mSequence = 0;
   JobTable mTable;
   bool mLoaded = false;
@@ -105,6 +109,14 @@
   std::vector<Wakeup*> mWaiters; // tasks that wait for something durable
 };
 
+// The fencing token of an owner: its generation, then the start of its process.
+// A process that was killed and started again is the same member of the group
+// with the same generation. With the token of the process before it, the store
+// would take its first appends for repeats of that process's and confirm them
+// without writing them.
+auto FenceToken(std::uint64_t aGeneration, WallTime aStartedAt)
+  -> std::uint64_t;
+
 using JobPartitionPtr = std::shared_ptr<JobPartition>;
 
 } // namespace mangovalve
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -174,7 +174,7 @@
   for (const auto number : held) {
     if (!mPartitions.contains(number)) {
       auto partition = std::make_shared<JobPartition>(
-        mState.mLoop, mTables, number, mGeneration);
+        mState.mLoop, mTables, number, mGeneration, mStartedAt);
       mPartitions[number] = partition;
       Spawn(mState.mLoop, partition->Run());
     }
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -97,6 +97,7 @@
   ItemRunner mRunner;
   std::map<std::uint32_t, JobPartitionPtr> mPartitions;
   std::uint64_t mGeneration = 0;
+  WallTime mStartedAt = WallNow();
   BootTime mLeaseUntil{};
   bool mLeaving = false;
 };
