--- a/mangovalve/limits/fleet_rate.h
+++ b/mangovalve/limits/fleet_rate.h
@@ -33,7 +33,7 @@
   double mShare = 1;  // part of the rate for this side of a cut, in (0, 1]
   TimePoint mAccruedAt{};
   std::uint64_t mAdmitted = 0; // by this daemon since its start, less refunds
-  TimePoint mChangedAt{}; // when mAdmitted last changed
+  TimePoint mChangedAt{};      // when mAdmitted last changed
   absl::flat_hash_map<std::string, PeerAdmissions> mPeers; // by host
 };
 
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -101,7 +101,8 @@
   if (const auto free = DrawNearFirst(choice, FreeSlots, aRandom)) {
     return free;
   }
-  if (const auto held = DrawByRoom(choice, true, ReclaimableSlots, 0, aRandom)) {
+  if (const auto held =
+        DrawByRoom(choice, true, ReclaimableSlots, 0, aRandom)) {
     return held;
   }
   return DrawByRoom(choice, false, ReclaimableSlots, 0, aRandom);
