--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "mangovalve/online/event_stream.h"
+#include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
@@ -216,6 +217,11 @@
       item.mFailures >= route->mMaxAttempts) {
     end = End::Hopeless;
   }
+  const auto outcome = end == End::Completed  ? "completed"
+                       : end == End::Hopeless ? "given_up"
+                       : aRun->mStopped       ? "stopped"
+                                              : "interrupted";
+  FindCounter("mangovalve_item_runs_total", { { "outcome", outcome } }).Add();
   LogEvent(Severity::Info,
            "item",
            { { "id", item.mSubmitted.id },
@@ -223,11 +229,7 @@
              { "endpoint", aRun->mEndpoint->mRegistration.mId },
              { "events", absl::StrCat(aRun->mEvents) },
              { "failures", absl::StrCat(item.mFailures) },
-             { "outcome",
-               end == End::Completed  ? "completed"
-               : end == End::Hopeless ? "given_up"
-               : aRun->mStopped       ? "stopped"
-                                      : "interrupted" } });
+             { "outcome", outcome } });
   if (job->mEnded || item.mFinished) {
     co_return;
   }
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -121,6 +121,10 @@
 
 private:
   auto TakeSlot() -> Task<Slot>;
+  // Says why a request got no endpoint: slots that could be used, and how many
+  // requests waited before it.
+  auto LogNoSlot(double aSlots, std::size_t aAhead, Duration aWait) const
+    -> void;
   auto TryPlace(ServicePool& aPool) -> EndpointPtr;
   auto WaitInLine(ServicePool& aPool, TimePoint aGiveUpAt) -> Task<EndpointPtr>;
   auto GiveUpAt(TimePoint aNow) const -> TimePoint;
@@ -160,6 +164,9 @@
 
 auto Runner::Log(std::string_view aOutcome) const -> void
 {
+  FindCounter("mangovalve_requests_total",
+              { { "outcome", std::string(aOutcome) } })
+    .Add();
   LogEvent(Severity::Info,
            "request",
            { { "id", mExchange.mFacts.mId },
@@ -262,10 +269,26 @@
   co_return endpoint;
 }
 
+auto Runner::LogNoSlot(double aSlots, std::size_t aAhead, Duration aWait) const
+  -> void
+{
+  LogEvent(
+    Severity::Info,
+    "no_slot",
+    { { "id", mExchange.mFacts.mId },
+      { "service", mExchange.mService },
+      { "usable_slots", absl::StrCat(aSlots) },
+      { "ahead", absl::StrCat(aAhead) },
+      { "expected_wait_ms", Millis(aWait) },
+      { "waited_ms", Millis(Clock::now() - mExchange.mCaller->mArrivedAt) },
+      { "peers_heard", absl::StrCat(HeardPeers(mState.mFleet)) } });
+}
+
 auto Runner::TakeSlot() -> Task<Slot>
 {
   const auto found = mState.mPools.find(mExchange.mService);
   if (found == mState.mPools.end() || found->second.mEndpoints.empty()) {
+    LogNoSlot(0, 0, Duration::zero());
     co_return Slot{ nullptr, RefusalReason::Overloaded, kDefaultRetryAfter };
   }
   auto& pool = found->second;
@@ -286,9 +309,13 @@
   const auto retryAfter = std::chrono::duration_cast<milliseconds>(
     std::max<Duration>(wait, kDefaultRetryAfter));
   if (now + wait > giveUpAt) {
+    LogNoSlot(slots, ahead, wait);
     co_return Slot{ nullptr, RefusalReason::Overloaded, retryAfter };
   }
   auto endpoint = co_await WaitInLine(pool, giveUpAt);
+  if (!endpoint && !mExchange.mCaller->Gone()) {
+    LogNoSlot(slots, ahead, wait);
+  }
   co_return Slot{ std::move(endpoint), RefusalReason::Overloaded, retryAfter };
 }
 
