--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -22,6 +22,12 @@
 // is noticed well within the bound for configurations.
 constexpr FollowPolicy kFollowDocument{ std::chrono::seconds(1), true };
 
+// A read that was begun just before the end of a silent outage blocks the next
+// one until its timeout. The platform's bound for configurations is 2 s from
+// their acknowledgement.
+static_assert(kFollowDocument.mInterval + kFollowDocument.mAnswerTimeout <
+              std::chrono::milliseconds(1800));
+
 // Endpoints write so often that a held read would return at once each time.
 // Half a second leaves most of the 2 s within which a leaving endpoint must get
 // no more work.
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -8,12 +8,6 @@
 namespace mangovalve {
 namespace {
 
-// A read that is not held takes some milliseconds; a store that is slower than
-// this counts as away, and a silent connection is noticed. Together with the
-// hold it must stay well below the bound for configurations, 2 s: a read that
-// was begun just before the end of a silent outage blocks the next one.
-constexpr auto kAnswerTimeout = std::chrono::milliseconds(700);
-
 // Pause after a failed read. Small against the bound for configurations, 2 s.
 constexpr auto kRetryPause = std::chrono::milliseconds(200);
 
@@ -35,12 +29,13 @@
 // All keys of the table, and the offset from which changes may be missing.
 auto LoadAll(const TablePorts& aPorts,
              Table aTable,
+             Duration aAnswerTimeout,
              std::vector<KeyedRecord>& aRecords) -> Task<std::optional<Offset>>
 {
   std::optional<Offset> from;
   std::string after;
   for (auto more = true; more;) {
-    const auto deadline = Clock::now() + kAnswerTimeout;
+    const auto deadline = Clock::now() + aAnswerTimeout;
     const auto page = co_await aPorts.mNewest(aTable, 0, after, deadline);
     if (!page) {
       co_return std::nullopt;
@@ -78,7 +73,7 @@
   auto Load() -> Task<bool>
   {
     std::vector<KeyedRecord> records;
-    mFrom = co_await LoadAll(mPorts, mTable, records);
+    mFrom = co_await LoadAll(mPorts, mTable, mPolicy.mAnswerTimeout, records);
     if (mFrom) {
       mSinks.mReplace(records);
     }
@@ -90,7 +85,7 @@
     const auto now = Clock::now();
     const auto waitUntil = mPolicy.mHeld ? now + mPolicy.mInterval : now;
     auto changes = co_await mPorts.mChanges(
-      mTable, 0, *mFrom, waitUntil, waitUntil + kAnswerTimeout);
+      mTable, 0, *mFrom, waitUntil, waitUntil + mPolicy.mAnswerTimeout);
     if (!changes) {
       if (changes.error().mKind == TableErrorKind::Expired) {
         mFrom.reset();
--- a/mangovalve/serving/table_follower.h
+++ b/mangovalve/serving/table_follower.h
@@ -17,6 +17,9 @@
   // Start of a read to the start of the next; also how long a held read waits.
   Duration mInterval = std::chrono::milliseconds(500);
   bool mHeld = false; // the store holds the read until there is a record
+  // A read that is not held takes some milliseconds; a store that is slower
+  // than this counts as away, and a silent connection is noticed.
+  Duration mAnswerTimeout = std::chrono::milliseconds(700);
 };
 
 struct FollowSinks
