Start late batch items last and let them give way

Now items that cannot end in time start last, leave one more slot free and stop first; urgency is judged by what is left to run.

--- /dev/null
+++ b/mangovalve/batch/item_pace.cc
@@ -0,0 +1,67 @@
+// How long items run.
+#include "mangovalve/batch/item_pace.h"
+
+#include <algorithm>
+
+namespace mangovalve {
+namespace {
+
+constexpr double kDecay = 0.9; // weight of the past per run
+
+// Least share of a whole run that an item is expected to need still.
+constexpr double kMinRemainingShare = 0.05;
+
+// From an item's last event until its caller can read the result: an append
+// takes some 10 ms, and callers look about twice a second.
+constexpr auto kListing = std::chrono::milliseconds(300);
+
+// An item is urgent when it could wait less than this share of a whole run. A
+// burst of online requests that makes it stop lasts about that long or longer.
+constexpr double kUrgentShare = 0.5;
+
+auto Blend(double& aMean, double aValue) -> void
+{
+  aMean = aMean == 0 ? aValue : kDecay * aMean + (1 - kDecay) * aValue;
+}
+
+auto RunOf(const ItemPace& aPace, double aEvents) -> Duration
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aEvents * aPace.mSecondsPerEvent));
+}
+
+} // namespace
+
+auto NoteRun(ItemPace& aPace, std::uint32_t aEvents, Duration aTook) -> void
+{
+  const std::chrono::duration<double> took = aTook;
+  Blend(aPace.mSecondsPerEvent, took.count() / std::max(1U, aEvents));
+}
+
+auto NoteCompleted(ItemPace& aPace, std::uint32_t aEvents) -> void
+{
+  Blend(aPace.mEvents, aEvents);
+}
+
+auto RemainingRun(const ItemPace& aPace, std::uint32_t aHad) -> Duration
+{
+  const auto least = kMinRemainingShare * aPace.mEvents;
+  return RunOf(aPace, std::max(least, aPace.mEvents - aHad));
+}
+
+auto TimelinessOf(const ItemPace& aPace,
+                  std::uint32_t aHad,
+                  WallTime aDue,
+                  WallTime aNow) -> Timeliness
+{
+  const auto slack =
+    Duration(aDue - aNow) - kListing - RemainingRun(aPace, aHad);
+  if (slack < Duration::zero()) {
+    return Timeliness::Late;
+  }
+  return slack < RunOf(aPace, kUrgentShare * aPace.mEvents)
+           ? Timeliness::Urgent
+           : Timeliness::OnTime;
+}
+
+} // namespace mangovalve
--- /dev/null
+++ b/mangovalve/batch/item_pace_test.cc
@@ -0,0 +1,138 @@
+// Tests of the order in which batch items start and give way.
+#include "mangovalve/batch/item_pace.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/batch/job_table.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr WallTime kStart{ seconds(1000) };
+
+// Items of 160 events at 25 ms: 4 s a run, as on both sites.
+auto Pace() -> ItemPace
+{
+  ItemPace pace;
+  NoteRun(pace, 160, seconds(4));
+  NoteCompleted(pace, 160);
+  return pace;
+}
+
+TEST_CASE("what is left of an item shrinks with its events, never to nothing")
+{
+  const auto pace = Pace();
+  CHECK(RemainingRun({}, 0) == Duration::zero());
+  CHECK(RemainingRun(pace, 0) == seconds(4));
+  CHECK(RemainingRun(pace, 80) == seconds(2));
+  CHECK(RemainingRun(pace, 1000) == milliseconds(200));
+  auto last = RemainingRun(pace, 0);
+  for (std::uint32_t had = 1; had < 200; ++had) {
+    CHECK(RemainingRun(pace, had) <= last);
+    last = RemainingRun(pace, had);
+  }
+}
+
+TEST_CASE("an item is urgent just before it would be late")
+{
+  // A late item that counted as urgent kept its slot through every burst of
+  // online requests (kpc-chime, fresh day 893c).
+  const auto pace = Pace();
+  const auto at = [&](std::uint32_t aHad, milliseconds aLeft) {
+    return TimelinessOf(pace, aHad, kStart + aLeft, kStart);
+  };
+  CHECK(at(0, seconds(10)) == Timeliness::OnTime);
+  CHECK(at(0, seconds(6)) == Timeliness::Urgent);
+  CHECK(at(0, seconds(4)) == Timeliness::Late);
+  CHECK(at(120, seconds(4)) == Timeliness::OnTime);
+  CHECK(at(120, milliseconds(1200)) == Timeliness::Late);
+  CHECK(at(120, -seconds(5)) == Timeliness::Late);
+  // Nothing is known yet: only an item past its time is late.
+  CHECK(TimelinessOf({}, 0, kStart + seconds(1), kStart) == Timeliness::OnTime);
+  CHECK(TimelinessOf({}, 0, kStart, kStart) == Timeliness::Late);
+}
+
+// Runs two jobs on aSlots slots in virtual time and returns how many items of
+// each ended in time.
+struct Overload
+{
+  JobTable mTable;
+  ServingDocument mDocument;
+  std::vector<int> mInTime{ 0, 0 };
+
+  auto Add(const std::string& aId, std::size_t aItems, milliseconds aAfter)
+    -> void
+  {
+    wire::JobT job;
+    job.team = "team";
+    job.id = aId;
+    job.host = "h";
+    job.path = "/b/x";
+    job.submitted_ms = (kStart + aAfter).time_since_epoch().count();
+    for (std::size_t i = 0; i < aItems; ++i) {
+      auto item = std::make_unique<wire::JobItemT>();
+      item->path = "/b/1";
+      job.items.push_back(std::move(item));
+    }
+    const auto made = MakeJob(std::move(job));
+    made->mDurable = true;
+    mTable.mJobs[{ "team", aId }] = made;
+  }
+
+  auto Run(std::size_t aSlots, seconds aLength) -> void
+  {
+    constexpr auto kRun = seconds(4);
+    std::vector<std::pair<WallTime, RunnableItem>> running;
+    for (auto now = kStart; now < kStart + aLength; now += seconds(1)) {
+      std::erase_if(running, [&](const auto& aRun) {
+        const auto ended = aRun.first <= now;
+        if (ended && now <= aRun.second.mDue) {
+          ++mInTime[aRun.second.mJob->mId == "second" ? 1 : 0];
+        }
+        return ended;
+      });
+      const ItemClock clock{ TimePoint(seconds(9)), now, Pace() };
+      auto items =
+        RunnableItems(mTable, mDocument, "llm", aSlots - running.size(), clock);
+      std::erase_if(items, [&](const RunnableItem& aItem) {
+        return aItem.mJob->mSubmittedAt > now;
+      });
+      for (auto& item : items) {
+        auto& entry = item.mJob->mItems[item.mIndex];
+        entry.mRunning = true;
+        running.emplace_back(now + kRun, item);
+      }
+    }
+  }
+};
+
+TEST_CASE("many jobs at once: a backlog that is late does not make the next "
+          "job late")
+{
+  // Four slots do 16 items of 4 s within 18 s. The first job has 60 items; by
+  // due time alone its backlog would hold the slots until second 60, and the
+  // second job, due at second 38, would miss its time whole.
+  Overload load;
+  ServingRoute route;
+  route.mName = "batch";
+  route.mHost = "h";
+  route.mPathPrefix = "/b/";
+  route.mKind = RouteKind::Batch;
+  route.mServices = { { "llm", 1 } };
+  route.mDue = seconds(18);
+  load.mDocument.mRoutes.push_back(route);
+  load.Add("first", 60, seconds(0));
+  load.Add("second", 12, seconds(20));
+  load.Run(4, seconds(60));
+  CHECK(load.mInTime[0] == 16);
+  CHECK(load.mInTime[1] == 12);
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -16,8 +16,6 @@
 // Most items that one daemon starts on a service at one look at the load.
 constexpr std::size_t kMaxStarts = 8;
 
-constexpr double kDurationDecay = 0.9; // weight of the past per run
-
 // Appends the data of the events that follow what the item has; false if
 // events are missing in between.
 auto AppendEvents(BatchItem& aItem, const std::vector<StreamEvent>& aEvents)
@@ -36,6 +34,7 @@
     }
     aItem.mOutput += EventData(event);
     aItem.mLastEvent = event.mId ? event.mId : aItem.mLastEvent;
+    ++aItem.mEvents;
   }
   return true;
 }
@@ -61,10 +60,41 @@
   }
 }
 
-auto ItemRunner::IsUrgent(const RunnableItem& aItem) const -> bool
+// Late items first, since they have missed what they hurried for; then those
+// with most left to run, which have the least to read again.
+auto ItemRunner::Stoppable(const EndpointPtr& aEndpoint) const
+  -> std::vector<RunningItemPtr>
 {
-  const std::chrono::duration<double> left = aItem.mDue - WallNow();
-  return left.count() < mPolicy.mUrgentRuns * mMeanSeconds;
+  struct Candidate
+  {
+    bool mLate = false;
+    std::uint32_t mEvents = 0;
+    RunningItemPtr mRun;
+  };
+  std::vector<Candidate> candidates;
+  const auto now = WallNow();
+  for (const auto& run : mRunning) {
+    if (run->mEndpoint != aEndpoint || run->mStopped) {
+      continue;
+    }
+    const auto events = run->mItem.mJob->mItems[run->mItem.mIndex].mEvents;
+    const auto timeliness = TimelinessOf(mPace, events, run->mItem.mDue, now);
+    if (timeliness != Timeliness::Urgent) {
+      candidates.push_back({ timeliness == Timeliness::Late, events, run });
+    }
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return aLeft.mLate != aRight.mLate
+                       ? aLeft.mLate
+                       : aLeft.mEvents < aRight.mEvents;
+            });
+  std::vector<RunningItemPtr> runs;
+  for (auto& candidate : candidates) {
+    runs.push_back(std::move(candidate.mRun));
+  }
+  return runs;
 }
 
 auto ItemRunner::Stop(RunningItem& aRun) -> void
@@ -108,16 +138,15 @@
     const auto candidates = Candidates(mState, pool, aNow);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
       const auto& endpoint = pool.mEndpoints[i];
-      auto count =
+      const auto count =
         BatchToStop(candidates[i], endpoint->mOwn.mBatch, mState.mRandom);
-      // The newest first: they have the least to read again.
-      for (auto run = mRunning.rbegin(); run != mRunning.rend() && count > 0;
-           ++run) {
-        if ((*run)->mEndpoint == endpoint && !(*run)->mStopped &&
-            !IsUrgent((*run)->mItem)) {
-          Stop(**run);
-          --count;
-        }
+      if (count == 0) {
+        continue;
+      }
+      auto runs = Stoppable(endpoint);
+      runs.resize(std::min<std::size_t>(count, runs.size()));
+      for (const auto& run : runs) {
+        Stop(*run);
       }
     }
   }
@@ -156,9 +185,12 @@
                          TimePoint aNow) -> void
 {
   std::vector<std::pair<RunnableItem, JobPartitionPtr>> items;
+  const ItemClock clock{ aNow, WallNow(), mPace };
+  std::size_t late = 0;
   for (const auto& partition : mPorts.mPartitions()) {
     for (auto& item : RunnableItems(
-           partition->Jobs(), *mState.mDocument, aService, kMaxStarts, aNow)) {
+           partition->Jobs(), *mState.mDocument, aService, kMaxStarts, clock)) {
+      late += item.mLate ? 1 : 0;
       items.emplace_back(std::move(item), partition);
     }
   }
@@ -167,7 +199,7 @@
   }
   std::sort(
     items.begin(), items.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first.mDue < aRight.first.mDue;
+      return StartsBefore(aLeft.first, aRight.first);
     });
   // Owners see the same free slots at the same time, so each takes its part.
   const auto spare =
@@ -175,9 +207,14 @@
   const auto share = spare / static_cast<double>(mPorts.mOwners());
   auto starts = static_cast<std::size_t>(share + Uniform(mState.mRandom));
   starts = std::min({ starts, items.size(), kMaxStarts });
+  LogLoad(aService, items.size(), late, spare, aNow);
   for (std::size_t i = 0; i < starts; ++i) {
-    const auto place = PlaceBatch(
-      Candidates(mState, aPool, aNow), mState.mPlacement, mState.mRandom);
+    const auto urgency =
+      items[i].first.mLate ? BatchUrgency::Late : BatchUrgency::OnTime;
+    const auto place = PlaceBatch(Candidates(mState, aPool, aNow),
+                                  urgency,
+                                  mState.mPlacement,
+                                  mState.mRandom);
     if (!place) {
       return;
     }
@@ -192,6 +229,26 @@
   }
 }
 
+auto ItemRunner::LogLoad(const std::string& aService,
+                         std::size_t aWaiting,
+                         std::size_t aLate,
+                         double aSpare,
+                         TimePoint aNow) -> void
+{
+  if (aNow < mLogAfter) {
+    return;
+  }
+  mLogAfter = aNow + mPolicy.mLogInterval;
+  LogEvent(Severity::Info,
+           "batch_load",
+           { { "service", aService },
+             { "running", absl::StrCat(mRunning.size()) },
+             { "next_waiting", absl::StrCat(aWaiting) },
+             { "next_late", absl::StrCat(aLate) },
+             { "spare_slots", absl::StrCat(aSpare) },
+             { "owners", absl::StrCat(mPorts.mOwners()) } });
+}
+
 auto ItemRunner::RunOne(RunningItemPtr aRun) -> Task<>
 {
   const auto job = aRun->mItem.mJob;
@@ -204,6 +261,9 @@
   aRun->mStop = nullptr;
   mRunning.remove(aRun);
   auto& item = job->mItems[index];
+  if (aRun->mEvents > 0) {
+    NoteRun(mPace, aRun->mEvents, Clock::now() - aRun->mStartedAt);
+  }
   item.mRunning = false;
   const auto* route =
     mState.mDocument
@@ -351,10 +411,7 @@
     co_return NoteFailure(aRun, "ended within an event");
   }
   NoteExchange(mState, *aRun.mEndpoint, ExchangeResult::Good);
-  const std::chrono::duration<double> took = Clock::now() - aRun.mStartedAt;
-  mMeanSeconds = mMeanSeconds == 0 ? took.count()
-                                   : kDurationDecay * mMeanSeconds +
-                                       (1 - kDurationDecay) * took.count();
+  NoteCompleted(mPace, item.mEvents);
   co_return End::Completed;
 }
 
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -24,9 +24,8 @@
   Duration mConnectTimeout = std::chrono::milliseconds(400);
   // Pause before an item is sent again that an endpoint refused or failed.
   Duration mRetryPause = std::chrono::milliseconds(200);
-  // An item gives way to online requests until this many times the usual run
-  // is left before it is due; then it keeps its slot.
-  double mUrgentRuns = 1.5;
+  // Pause between two lines in the log on the load, while items wait.
+  Duration mLogInterval = std::chrono::seconds(1);
 };
 
 struct ItemRunnerPorts
@@ -94,15 +93,24 @@
                   ClientConnection& aConnection,
                   ResponseParser& aParser) -> Task<End>;
   auto Stop(RunningItem& aRun) -> void;
-  auto IsUrgent(const RunnableItem& aItem) const -> bool;
+  // The items on an endpoint that may give way, those to stop first at the
+  // front.
+  auto Stoppable(const EndpointPtr& aEndpoint) const
+    -> std::vector<RunningItemPtr>;
+  auto LogLoad(const std::string& aService,
+               std::size_t aWaiting,
+               std::size_t aLate,
+               double aSpare,
+               TimePoint aNow) -> void;
   auto NoteFailure(RunningItem& aRun, std::string_view aReason) -> End;
 
   ServingState& mState;
   const Protocol& mProtocol;
   ItemRunnerPorts mPorts;
   std::list<RunningItemPtr> mRunning; // newest last
-  double mMeanSeconds = 0;            // of a whole run; 0: unknown
+  ItemPace mPace;
   bool mPaused = false;
+  TimePoint mLogAfter{}; // the load
 };
 
 // The wall clock, for times that other daemons read too.
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -201,11 +201,17 @@
   return page;
 }
 
+auto StartsBefore(const RunnableItem& aLeft, const RunnableItem& aRight) -> bool
+{
+  return std::pair(aLeft.mLate, aLeft.mDue) <
+         std::pair(aRight.mLate, aRight.mDue);
+}
+
 auto RunnableItems(const JobTable& aTable,
                    const ServingDocument& aDocument,
                    const std::string& aService,
                    std::size_t aMost,
-                   TimePoint aNow) -> std::vector<RunnableItem>
+                   const ItemClock& aClock) -> std::vector<RunnableItem>
 {
   std::vector<RunnableItem> items;
   for (const auto& [key, job] : aTable.mJobs) {
@@ -214,13 +220,17 @@
     }
     for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
       const auto& item = job->mItems[i];
-      if (item.mRunning || item.mFinished || aNow < item.mNotBefore) {
+      if (item.mRunning || item.mFinished || aClock.mNow < item.mNotBefore) {
         continue;
       }
       const auto* route =
         FindRoute(aDocument, job->mHost, item.mSubmitted.path);
       if (route != nullptr && Allows(*route, aService)) {
-        items.push_back({ job, i, job->mSubmittedAt + route->mDue });
+        const auto due = job->mSubmittedAt + route->mDue;
+        const auto late =
+          TimelinessOf(aClock.mPace, item.mEvents, due, aClock.mWallNow) ==
+          Timeliness::Late;
+        items.push_back({ job, i, due, late });
       }
     }
   }
@@ -228,9 +238,7 @@
   std::partial_sort(items.begin(),
                     items.begin() + static_cast<std::ptrdiff_t>(most),
                     items.end(),
-                    [](const RunnableItem& aLeft, const RunnableItem& aRight) {
-                      return aLeft.mDue < aRight.mDue;
-                    });
+                    StartsBefore);
   items.resize(most);
   return items;
 }
@@ -254,7 +262,7 @@
       if (route == nullptr ||
           (route->mAbandonAfter.count() > 0 &&
            aWallNow > job->mSubmittedAt + route->mAbandonAfter)) {
-        items.push_back({ job, i, aWallNow });
+        items.push_back({ job, i, aWallNow, true });
       }
     }
   }
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -13,14 +13,13 @@
 #include <vector>
 
 #include "mangovalve/base/time.h"
+#include "mangovalve/batch/item_pace.h"
 #include "mangovalve/batch/job_records_generated.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/tables.h"
 
 namespace mangovalve {
 
-using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
-
 struct BatchItem
 {
   wire::JobItemT mSubmitted;
@@ -31,6 +30,7 @@
   // What an interrupted run has brought so far.
   std::string mOutput;
   std::optional<std::uint64_t> mLastEvent;
+  std::uint32_t mEvents = 0;
 };
 
 struct BatchResult
@@ -96,14 +96,28 @@
   SubmittedJobPtr mJob;
   std::uint32_t mIndex = 0;
   WallTime mDue;
+  bool mLate = false; // cannot be done by mDue
+};
+
+// Whether aLeft is to be started before aRight: those that can be done in time
+// first, then the earliest due.
+auto StartsBefore(const RunnableItem& aLeft, const RunnableItem& aRight)
+  -> bool;
+
+// What the order of items depends on.
+struct ItemClock
+{
+  TimePoint mNow;
+  WallTime mWallNow;
+  ItemPace mPace;
 };
 
-// The runnable items of a service, the earliest due first, at most aMost.
+// The runnable items of a service, at most aMost, in the order of StartsBefore.
 auto RunnableItems(const JobTable& aTable,
                    const ServingDocument& aDocument,
                    const std::string& aService,
                    std::size_t aMost,
-                   TimePoint aNow) -> std::vector<RunnableItem>;
+                   const ItemClock& aClock) -> std::vector<RunnableItem>;
 
 // Items that no longer can or need to be run: their route is gone, or the time
 // after which they may be abandoned has passed.
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxRecord = 8192;
 constexpr WallTime kSubmitted{ seconds(1000) };
 constexpr TimePoint kNow{ std::chrono::hours(1) };
+constexpr ItemClock kClock{ kNow, kSubmitted, {} };
 
 auto Document() -> ServingDocument
 {
@@ -186,14 +187,14 @@
   for (const auto& job : { late, early, pending, ended }) {
     table.mJobs[{ job->mTeam, job->mId }] = job;
   }
-  const auto items = RunnableItems(table, document, "llm", 10, kNow);
+  const auto items = RunnableItems(table, document, "llm", 10, kClock);
   REQUIRE(items.size() == 3);
   CHECK(items[0].mJob == early);
   CHECK(items[0].mDue == kSubmitted + seconds(18));
-  CHECK(RunnableItems(table, document, "llm", 1, kNow).size() == 1);
-  CHECK(RunnableItems(table, document, "other", 10, kNow).empty());
+  CHECK(RunnableItems(table, document, "llm", 1, kClock).size() == 1);
+  CHECK(RunnableItems(table, document, "other", 10, kClock).empty());
   early->mItems[1].mNotBefore = kNow + seconds(1);
-  CHECK(RunnableItems(table, document, "llm", 10, kNow).size() == 2);
+  CHECK(RunnableItems(table, document, "llm", 10, kClock).size() == 2);
 }
 
 TEST_CASE("items are given up only past their time or without their route")
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -109,11 +109,15 @@
 }
 
 auto PlaceBatch(std::span<const PlacementCandidate> aCandidates,
+                BatchUrgency aUrgency,
                 const PlacementPolicy& aPolicy,
                 Random& aRandom) -> std::optional<std::size_t>
 {
-  const auto room = [&](const PlacementCandidate& aCandidate) {
-    return FreeSlots(aCandidate) - aPolicy.mBatchHeadroom;
+  const auto headroom =
+    aPolicy.mBatchHeadroom +
+    (aUrgency == BatchUrgency::Late ? aPolicy.mLateHeadroom : 0);
+  const auto room = [headroom](const PlacementCandidate& aCandidate) {
+    return FreeSlots(aCandidate) - headroom;
   };
   return DrawNearFirst({ aCandidates, {}, aPolicy }, room, aRandom);
 }
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -32,6 +32,9 @@
   // Slots that batch leaves free on each endpoint, so that the first requests
   // of a burst need not wait for a batch item to stop.
   double mBatchHeadroom = 1;
+  // Further slots that items leave free which are late already, so that items
+  // of other hosts that can still be done in time find room.
+  double mLateHeadroom = 1;
   // Free slots that an endpoint of another domain must have to be chosen while
   // the own domain has none: news from there is older.
   double mFarMargin = 1;
@@ -48,8 +51,15 @@
                  const PlacementPolicy& aPolicy,
                  Random& aRandom) -> std::optional<std::size_t>;
 
+enum class BatchUrgency
+{
+  OnTime,
+  Late, // the item cannot be done in time any more
+};
+
 // The endpoint for a batch item; nothing when no slot is left over.
 auto PlaceBatch(std::span<const PlacementCandidate> aCandidates,
+                BatchUrgency aUrgency,
                 const PlacementPolicy& aPolicy,
                 Random& aRandom) -> std::optional<std::size_t>;
 
--- a/mangovalve/routing/placement_test.cc
+++ b/mangovalve/routing/placement_test.cc
@@ -85,8 +85,12 @@
   for (int online = 0; online <= 8; ++online) {
     for (int batch = 0; batch <= 8; ++batch) {
       const std::array candidates = { Engine(online, batch) };
-      const auto place = PlaceBatch(candidates, {}, random);
+      const auto place =
+        PlaceBatch(candidates, BatchUrgency::OnTime, {}, random);
       CHECK(place.has_value() == (online + batch < 7));
+      // Items that are late leave one more slot to those that are not.
+      const auto late = PlaceBatch(candidates, BatchUrgency::Late, {}, random);
+      CHECK(late.has_value() == (online + batch < 6));
     }
   }
 }
@@ -121,7 +125,8 @@
   std::array<std::array<std::uint32_t, kEngines>, kHosts> own{};
   for (int tick = 0; tick < 50; ++tick) {
     for (auto& host : own) {
-      if (const auto place = PlaceBatch(engines, {}, random)) {
+      if (const auto place =
+            PlaceBatch(engines, BatchUrgency::OnTime, {}, random)) {
         engines[*place].mBatch += 1;
         ++host[*place];
       }
