Split taking a slot from the relay; bound idle connections; spread returns

- online/slot_line.h takes a slot, the relay carries the answer.
A call is read and checked once instead of twice.
- The hash of a team is kept with its rate instead of taken per report.
Fields that nothing used are gone.

--- /dev/null
+++ b/mangovalve/base/decayed_mean.h
@@ -0,0 +1,13 @@
+// A mean that forgets: each new value takes a fixed share of it.
+#pragma once
+
+namespace mangovalve {
+
+// Blends a value into a mean that is 0 while nothing is known.
+inline auto BlendMean(double& aMean, double aValue) -> void
+{
+  constexpr double kDecay = 0.9; // weight of the past per value
+  aMean = aMean == 0 ? aValue : kDecay * aMean + (1 - kDecay) * aValue;
+}
+
+} // namespace mangovalve
--- a/mangovalve/batch/item_pace.cc
+++ b/mangovalve/batch/item_pace.cc
@@ -3,11 +3,11 @@
 
 #include <algorithm>
 
+#include "mangovalve/base/decayed_mean.h"
+
 namespace mangovalve {
 namespace {
 
-constexpr double kDecay = 0.9; // weight of the past per run
-
 // Least share of a whole run that an item is expected to need still.
 constexpr double kMinRemainingShare = 0.05;
 
@@ -19,11 +19,6 @@
 // burst of online requests that makes it stop lasts about that long or longer.
 constexpr double kUrgentShare = 0.5;
 
-auto Blend(double& aMean, double aValue) -> void
-{
-  aMean = aMean == 0 ? aValue : kDecay * aMean + (1 - kDecay) * aValue;
-}
-
 auto RunOf(const ItemPace& aPace, double aEvents) -> Duration
 {
   return std::chrono::duration_cast<Duration>(
@@ -35,12 +30,12 @@
 auto NoteRun(ItemPace& aPace, std::uint32_t aEvents, Duration aTook) -> void
 {
   const std::chrono::duration<double> took = aTook;
-  Blend(aPace.mSecondsPerEvent, took.count() / std::max(1U, aEvents));
+  BlendMean(aPace.mSecondsPerEvent, took.count() / std::max(1U, aEvents));
 }
 
 auto NoteCompleted(ItemPace& aPace, std::uint32_t aEvents) -> void
 {
-  Blend(aPace.mEvents, aEvents);
+  BlendMean(aPace.mEvents, aEvents);
 }
 
 auto RemainingRun(const ItemPace& aPace, std::uint32_t aHad) -> Duration
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -355,7 +355,8 @@
   aRun->mStop = nullptr;
   if (!aRun->mStopped && parser.is_done()) {
     const auto usableUntil = ReusableUntil(**connection, parser, Clock::now());
-    mState.mPool.Release(std::move(*connection), usableUntil);
+    mState.mPool.Release(
+      std::move(*connection), usableUntil, IdleLimit(mState, endpoint));
   }
   co_return end;
 }
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -208,7 +208,6 @@
       aReport.partitions.emplace_back(partition->Generation(), number);
     }
   }
-  aReport.leaving = mLeaving;
 }
 
 auto JobService::Drain(TimePoint aUntil) -> Task<>
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -107,6 +107,23 @@
   }
 }
 
+// Visits the items without a result of jobs that have been accepted and not
+// ended.
+template<typename Visit>
+auto ForEachOpenItem(const JobTable& aTable, const Visit& aVisit) -> void
+{
+  for (const auto& [key, job] : aTable.mJobs) {
+    if (!job->mDurable || job->mEnded) {
+      continue;
+    }
+    for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
+      if (!job->mItems[i].mFinished) {
+        aVisit(job, i);
+      }
+    }
+  }
+}
+
 } // namespace
 
 auto PartitionOf(const std::string& aTeam, std::uint32_t aPartitions)
@@ -214,26 +231,19 @@
                    const ItemClock& aClock) -> std::vector<RunnableItem>
 {
   std::vector<RunnableItem> items;
-  for (const auto& [key, job] : aTable.mJobs) {
-    if (!job->mDurable || job->mEnded) {
-      continue;
-    }
-    for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
-      const auto& item = job->mItems[i];
-      if (item.mRunning || item.mFinished || aClock.mNow < item.mNotBefore) {
-        continue;
-      }
-      const auto* route =
-        FindRoute(aDocument, job->mHost, item.mSubmitted.path);
-      if (route != nullptr && Allows(*route, aService)) {
-        const auto due = job->mSubmittedAt + route->mDue;
-        const auto late =
-          TimelinessOf(aClock.mPace, item.mEvents, due, aClock.mWallNow) ==
-          Timeliness::Late;
-        items.push_back({ job, i, due, late });
-      }
+  const auto add = [&](const SubmittedJobPtr& aJob, std::uint32_t aIndex) {
+    const auto& item = aJob->mItems[aIndex];
+    const auto* route = FindRoute(aDocument, aJob->mHost, item.mSubmitted.path);
+    if (item.mRunning || aClock.mNow < item.mNotBefore || route == nullptr ||
+        !Allows(*route, aService)) {
+      return;
     }
-  }
+    const auto due = aJob->mSubmittedAt + route->mDue;
+    const auto timeliness =
+      TimelinessOf(aClock.mPace, item.mEvents, due, aClock.mWallNow);
+    items.push_back({ aJob, aIndex, due, timeliness == Timeliness::Late });
+  };
+  ForEachOpenItem(aTable, add);
   const auto most = std::min(aMost, items.size());
   std::partial_sort(items.begin(),
                     items.begin() + static_cast<std::ptrdiff_t>(most),
@@ -248,24 +258,16 @@
                     WallTime aWallNow) -> std::vector<RunnableItem>
 {
   std::vector<RunnableItem> items;
-  for (const auto& [key, job] : aTable.mJobs) {
-    if (!job->mDurable || job->mEnded) {
-      continue;
-    }
-    for (std::uint32_t i = 0; i < job->mItems.size(); ++i) {
-      const auto& item = job->mItems[i];
-      if (item.mFinished) {
-        continue;
-      }
+  ForEachOpenItem(
+    aTable, [&](const SubmittedJobPtr& aJob, std::uint32_t aIndex) {
       const auto* route =
-        FindRoute(aDocument, job->mHost, item.mSubmitted.path);
+        FindRoute(aDocument, aJob->mHost, aJob->mItems[aIndex].mSubmitted.path);
       if (route == nullptr ||
           (route->mAbandonAfter.count() > 0 &&
-           aWallNow > job->mSubmittedAt + route->mAbandonAfter)) {
-        items.push_back({ job, i, aWallNow, true });
+           aWallNow > aJob->mSubmittedAt + route->mAbandonAfter)) {
+        items.push_back({ aJob, aIndex, aWallNow, true });
       }
-    }
-  }
+    });
   return items;
 }
 
--- a/mangovalve/limits/fleet_rate.cc
+++ b/mangovalve/limits/fleet_rate.cc
@@ -6,6 +6,11 @@
 namespace mangovalve {
 namespace {
 
+constexpr double kMinRate = 1e-3; // per second; keeps divisions finite
+
+// Longest time after which a caller is asked back. Callers wait seconds.
+constexpr auto kLongestReturn = std::chrono::seconds(60);
+
 auto Accrue(FleetRate& aRate, TimePoint aNow) -> void
 {
   if (aNow <= aRate.mAccruedAt) {
@@ -67,12 +72,19 @@
   aRate.mTokens = std::min(aRate.mBurst, aRate.mTokens + 1);
 }
 
-auto NextTokenAt(const FleetRate& aRate, TimePoint aNow) -> TimePoint
+auto ReturnAt(FleetRate& aRate, std::size_t aHosts, TimePoint aNow) -> TimePoint
 {
-  const auto missing = std::max(0.0, 1 - aRate.mTokens);
-  const auto seconds = missing / std::max(1e-3, aRate.mRate * aRate.mShare);
-  return aNow + std::chrono::duration_cast<Duration>(
-                  std::chrono::duration<double>(std::min(seconds, 60.0)));
+  const auto perSecond = std::max(kMinRate, aRate.mRate * aRate.mShare);
+  const auto timeOf = [perSecond](double aTokens) {
+    const auto seconds = std::chrono::duration<double>(aTokens / perSecond);
+    return std::chrono::duration_cast<Duration>(
+      std::min<std::chrono::duration<double>>(seconds, kLongestReturn));
+  };
+  const auto next = aNow + timeOf(std::max(0.0, 1 - aRate.mTokens));
+  const auto at = std::max(next, aRate.mPromisedUntil);
+  aRate.mPromisedUntil = std::min<TimePoint>(
+    at + timeOf(static_cast<double>(aHosts)), aNow + kLongestReturn);
+  return at;
 }
 
 auto NotePeer(FleetRate& aRate,
--- a/mangovalve/limits/fleet_rate.h
+++ b/mangovalve/limits/fleet_rate.h
@@ -32,6 +32,7 @@
   double mTokens = 0; // at most mBurst; negative after an overdraft
   double mShare = 1;  // part of the rate for this side of a cut, in (0, 1]
   TimePoint mAccruedAt{};
+  TimePoint mPromisedUntil{};  // tokens up to then are promised to callers
   std::uint64_t mAdmitted = 0; // by this daemon since its start, less refunds
   TimePoint mChangedAt{};      // when mAdmitted last changed
   absl::flat_hash_map<std::string, PeerAdmissions> mPeers; // by host
@@ -53,8 +54,11 @@
 // Gives the token of an admitted request back that was not run after all.
 auto Refund(FleetRate& aRate, TimePoint aNow) -> void;
 
-// When the next token is due, for a request that was not admitted.
-auto NextTokenAt(const FleetRate& aRate, TimePoint aNow) -> TimePoint;
+// When the caller of a request that was not admitted had best come back. Each
+// gets a token's time of its own: callers that all come back for the next token
+// would be refused again but for one. aHosts: daemons that refuse alike.
+auto ReturnAt(FleetRate& aRate, std::size_t aHosts, TimePoint aNow)
+  -> TimePoint;
 
 // Counts what a peer reports. The first report of a peer only sets the base,
 // unless the peer started after this daemon did.
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -135,7 +135,8 @@
 }
 
 auto ConnectionPool::Release(ClientConnectionPtr aConnection,
-                             TimePoint aUsableUntil) -> void
+                             TimePoint aUsableUntil,
+                             std::size_t aMaxIdle) -> void
 {
   const auto now = Clock::now();
   if (aUsableUntil <= now) {
@@ -145,7 +146,11 @@
   aConnection->mIdleSince = now;
   aConnection->mUsableUntil = aUsableUntil;
   aConnection->mBuffer.shrink_to_fit();
-  mIdle[aConnection->mAddress].push_back(std::move(aConnection));
+  auto& idle = mIdle[aConnection->mAddress];
+  while (idle.size() >= aMaxIdle) {
+    idle.pop_front();
+  }
+  idle.push_back(std::move(aConnection));
 }
 
 auto ConnectionPool::Forget(const std::string& aAddress) -> void
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -34,6 +34,9 @@
   TimePoint mUsableUntil{};
 };
 
+// Idle connections to one address; an engine runs eight requests at once.
+constexpr std::size_t kMaxIdleConnections = 16;
+
 using ClientConnectionPtr = std::unique_ptr<ClientConnection>;
 
 class ConnectionPool
@@ -50,8 +53,11 @@
     -> Task<Result<ClientConnectionPtr, ErrorCode>>;
 
   // Keeps a connection for reuse until aUsableUntil. Call only after a whole
-  // answer with nothing left in the buffer.
-  auto Release(ClientConnectionPtr aConnection, TimePoint aUsableUntil) -> void;
+  // answer with nothing left in the buffer. With aMaxIdle idle ones to the same
+  // address, the one that has been idle longest is closed.
+  auto Release(ClientConnectionPtr aConnection,
+               TimePoint aUsableUntil,
+               std::size_t aMaxIdle = kMaxIdleConnections) -> void;
 
   // Closes the idle connections to an address, e.g. when one of them turned
   // out to be silent.
@@ -65,7 +71,7 @@
     -> ClientConnectionPtr;
 
   asio::io_context& mLoop;
-  // Most recently used at the back. Bounded by what was in use at once.
+  // Most recently used at the back.
   absl::flat_hash_map<std::string, std::deque<ClientConnectionPtr>> mIdle;
 };
 
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -5,8 +5,9 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "mangovalve/base/id.h"
+#include "mangovalve/base/decayed_mean.h"
 #include "mangovalve/online/event_stream.h"
+#include "mangovalve/online/slot_line.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
@@ -19,14 +20,21 @@
 // cross the network.
 constexpr auto kMinRemaining = milliseconds(1);
 
-// Pause named to a caller when nothing better is known.
-constexpr auto kDefaultRetryAfter = milliseconds(400);
+// Pause named to a caller whose request endpoints refused: about half the time
+// that an online request holds a slot.
+constexpr auto kRefusedRetryAfter = milliseconds(400);
+
+// Pauses named to a caller while there is no document. A daemon gets it within
+// some 100 ms of its start, and other daemons most likely have it. One that
+// still lacks it later is without the store, which stays away for seconds: a
+// caller that comes back once should do so late.
+constexpr auto kStartRetryAfter = milliseconds(400);
+constexpr auto kStartTime = milliseconds(1000);
+constexpr auto kNoDocumentRetryAfter = milliseconds(1500);
 
 // Answers to earlier requests that are passed over on one connection.
 constexpr int kMaxStrayAnswers = 2;
 
-constexpr double kDurationDecay = 0.9; // weight of the past per request
-
 auto Millis(Duration aDuration) -> std::string
 {
   return absl::StrCat(
@@ -67,41 +75,6 @@
   Hopeless, // no further attempt is allowed or useful
 };
 
-struct Slot
-{
-  EndpointPtr mEndpoint;
-  RefusalReason mRefusal = RefusalReason::Overloaded; // without an endpoint
-  std::optional<milliseconds> mRetryAfter;
-};
-
-// Takes a request out of the line, however its wait ends.
-class LinePlace
-{
-public:
-  LinePlace(ServicePool& aPool, QueuedRequest aWaiter)
-    : mPool(aPool)
-    , mWaiter(aWaiter)
-  {
-    mPool.mLine.insert(mWaiter);
-  }
-  ~LinePlace()
-  {
-    mPool.mLine.erase(mWaiter);
-    WakeFirst(mPool);
-  }
-  LinePlace(const LinePlace&) = delete;
-  auto operator=(const LinePlace&) -> LinePlace& = delete;
-
-  auto IsFirst() const -> bool
-  {
-    return mPool.mLine.begin()->mNumber == mWaiter.mNumber;
-  }
-
-private:
-  ServicePool& mPool;
-  QueuedRequest mWaiter;
-};
-
 // Runs one exchange; holds what its steps share.
 class Runner
 {
@@ -120,13 +93,6 @@
   auto Run() -> Task<>;
 
 private:
-  auto TakeSlot() -> Task<Slot>;
-  // Says why a request got no endpoint: slots that could be used, and how many
-  // requests waited before it.
-  auto LogNoSlot(double aSlots, std::size_t aAhead, Duration aWait) const
-    -> void;
-  auto TryPlace(ServicePool& aPool) -> EndpointPtr;
-  auto WaitInLine(ServicePool& aPool, TimePoint aGiveUpAt) -> Task<EndpointPtr>;
   auto GiveUpAt(TimePoint aNow) const -> TimePoint;
   auto Attempt(EndpointPtr aEndpoint) -> Task<Step>;
   auto Send(Endpoint& aEndpoint, ClientConnection& aConnection) -> Task<Step>;
@@ -149,6 +115,9 @@
     -> Task<bool>;
   auto MayTryAgain() const -> bool;
   auto MayTryElsewhereAfterRun() const -> bool;
+  // Until when an endpoint may bring nothing. There is none before the
+  // request's own deadline when the request may not go elsewhere.
+  auto SilenceDeadline(Duration aSilence) const -> TimePoint;
   auto FirstByteDeadline() const -> TimePoint;
   auto GapDeadline() const -> TimePoint;
   auto Finish(RefusalReason aRefusal, std::optional<milliseconds> aRetryAfter)
@@ -171,6 +140,7 @@
            "request",
            { { "id", mExchange.mFacts.mId },
              { "route", mExchange.mRoute->mName },
+             { "team", mExchange.mTeam },
              { "document", absl::StrCat(mExchange.mDocument->mVersion) },
              { "endpoint", mExchange.mEndpoint },
              { "attempts", absl::StrCat(mExchange.mAttempts) },
@@ -201,26 +171,25 @@
   return !mExchange.mCaller->Gone() && Clock::now() < mExchange.mDeadline;
 }
 
+auto Runner::SilenceDeadline(Duration aSilence) const -> TimePoint
+{
+  return MayTryElsewhereAfterRun()
+           ? std::min(mExchange.mDeadline, Clock::now() + aSilence)
+           : mExchange.mDeadline;
+}
+
 auto Runner::FirstByteDeadline() const -> TimePoint
 {
-  if (!MayTryElsewhereAfterRun()) {
-    return mExchange.mDeadline;
-  }
-  const auto silence =
+  return SilenceDeadline(
     std::max(mPolicy.mMinSilence,
-             Scaled(mExchange.mRoute->mObjective, mPolicy.mSilenceObjectives));
-  return std::min(mExchange.mDeadline, Clock::now() + silence);
+             Scaled(mExchange.mRoute->mObjective, mPolicy.mSilenceObjectives)));
 }
 
 auto Runner::GapDeadline() const -> TimePoint
 {
-  if (!MayTryElsewhereAfterRun()) {
-    return mExchange.mDeadline;
-  }
-  const auto gap =
+  return SilenceDeadline(
     std::max(mPolicy.mMinGap,
-             Scaled(mExchange.mRoute->mGapObjective, mPolicy.mGapObjectives));
-  return std::min(mExchange.mDeadline, Clock::now() + gap);
+             Scaled(mExchange.mRoute->mGapObjective, mPolicy.mGapObjectives)));
 }
 
 auto Runner::GiveUpAt(TimePoint aNow) const -> TimePoint
@@ -235,101 +204,22 @@
   return std::min(mExchange.mDeadline, sent ? std::max(first, later) : first);
 }
 
-auto Runner::TryPlace(ServicePool& aPool) -> EndpointPtr
-{
-  const auto candidates = Candidates(mState, aPool, Clock::now());
-  std::vector<std::size_t> excluded;
-  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
-    const auto& id = aPool.mEndpoints[i]->mRegistration.mId;
-    if (std::find(mExchange.mTried.begin(), mExchange.mTried.end(), id) !=
-        mExchange.mTried.end()) {
-      excluded.push_back(i);
-    }
-  }
-  const auto place =
-    PlaceOnline(candidates, excluded, mState.mPlacement, mState.mRandom);
-  return place ? aPool.mEndpoints[*place] : nullptr;
-}
-
-auto Runner::WaitInLine(ServicePool& aPool, TimePoint aGiveUpAt)
-  -> Task<EndpointPtr>
-{
-  Wakeup wakeup(mState.mLoop);
-  const LinePlace place(
-    aPool, QueuedRequest{ mExchange.mPriority, mState.mNextWaiter++, &wakeup });
-  mExchange.mCaller->mOnGone = [&wakeup] { wakeup.Give(); };
-  EndpointPtr endpoint;
-  while (!endpoint && Clock::now() < aGiveUpAt && !mExchange.mCaller->Gone()) {
-    co_await wakeup.WaitUntil(aGiveUpAt);
-    if (place.IsFirst()) {
-      endpoint = TryPlace(aPool);
-    }
-  }
-  mExchange.mCaller->mOnGone = nullptr;
-  co_return endpoint;
-}
-
-auto Runner::LogNoSlot(double aSlots, std::size_t aAhead, Duration aWait) const
-  -> void
-{
-  LogEvent(
-    Severity::Info,
-    "no_slot",
-    { { "id", mExchange.mFacts.mId },
-      { "service", mExchange.mService },
-      { "usable_slots", absl::StrCat(aSlots) },
-      { "ahead", absl::StrCat(aAhead) },
-      { "expected_wait_ms", Millis(aWait) },
-      { "waited_ms", Millis(Clock::now() - mExchange.mCaller->mArrivedAt) },
-      { "peers_heard", absl::StrCat(HeardPeers(mState.mFleet)) } });
-}
-
-auto Runner::TakeSlot() -> Task<Slot>
-{
-  const auto found = mState.mPools.find(mExchange.mService);
-  if (found == mState.mPools.end() || found->second.mEndpoints.empty()) {
-    LogNoSlot(0, 0, Duration::zero());
-    co_return Slot{ nullptr, RefusalReason::Overloaded, kDefaultRetryAfter };
-  }
-  auto& pool = found->second;
-  if (pool.mLine.empty()) {
-    if (auto endpoint = TryPlace(pool)) {
-      co_return Slot{ std::move(endpoint), {}, {} };
-    }
-  }
-  auto slots = 0.0;
-  const auto now = Clock::now();
-  for (const auto& candidate : Candidates(mState, pool, now)) {
-    slots += candidate.mUsable ? candidate.mSlots : 0;
-  }
-  const auto ahead = pool.mLine.size() +
-                     PeerWaiting(mState.mFleet, StableHash(mExchange.mService));
-  const auto wait = ExpectedWait(ahead, slots, pool.mMeanSeconds);
-  const auto giveUpAt = GiveUpAt(now);
-  const auto retryAfter = std::chrono::duration_cast<milliseconds>(
-    std::max<Duration>(wait, kDefaultRetryAfter));
-  if (now + wait > giveUpAt) {
-    LogNoSlot(slots, ahead, wait);
-    co_return Slot{ nullptr, RefusalReason::Overloaded, retryAfter };
-  }
-  auto endpoint = co_await WaitInLine(pool, giveUpAt);
-  if (!endpoint && !mExchange.mCaller->Gone()) {
-    LogNoSlot(slots, ahead, wait);
-  }
-  co_return Slot{ std::move(endpoint), RefusalReason::Overloaded, retryAfter };
-}
-
 auto Runner::Run() -> Task<>
 {
   for (;;) {
-    auto slot = co_await TakeSlot();
+    // Named, since g++ 12 destroys a braced argument of an awaited call twice.
+    SlotRequest request{ mExchange.mCaller,  mExchange.mFacts.mId,
+                         mExchange.mService, mExchange.mPriority,
+                         mExchange.mTried,   GiveUpAt(Clock::now()) };
+    auto slot = co_await TakeSlot(mState, std::move(request));
     if (mExchange.mCaller->Gone()) {
       Log("caller_gone");
       co_return;
     }
     if (!slot.mEndpoint) {
       const auto ran = mExchange.mAttempts > 0;
-      co_await Finish(ran ? RefusalReason::EndpointFailed : slot.mRefusal,
+      co_await Finish(ran ? RefusalReason::EndpointFailed
+                          : RefusalReason::Overloaded,
                       slot.mRetryAfter);
       co_return;
     }
@@ -350,7 +240,7 @@
       co_await Finish(notRun ? RefusalReason::Overloaded
                       : late ? RefusalReason::TimedOut
                              : RefusalReason::EndpointFailed,
-                      kDefaultRetryAfter);
+                      kRefusedRetryAfter);
       co_return;
     }
   }
@@ -416,10 +306,7 @@
     if (step == Step::Done && !mExchange.mCaller->Gone()) {
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> took = Clock::now() - begun;
-      pool.mMeanSeconds = pool.mMeanSeconds == 0
-                            ? took.count()
-                            : kDurationDecay * pool.mMeanSeconds +
-                                (1 - kDurationDecay) * took.count();
+      BlendMean(pool.mMeanSeconds, took.count());
     }
   }
   mExchange.mCaller->mOnGone = nullptr;
@@ -430,7 +317,8 @@
     if (parser) {
       const auto usableUntil =
         ReusableUntil(**connection, *parser, Clock::now());
-      mState.mPool.Release(std::move(*connection), usableUntil);
+      mState.mPool.Release(
+        std::move(*connection), usableUntil, IdleLimit(mState, *aEndpoint));
     }
   }
   co_return step;
@@ -640,20 +528,22 @@
 
 } // namespace
 
-auto CheckCall(const ServingDocument& aDocument, const CallFacts& aFacts)
-  -> Admission
+auto CheckCall(std::shared_ptr<const ServingDocument> aDocument,
+               const CallFacts& aFacts) -> Admission
 {
   Admission admission;
-  admission.mRoute = FindRoute(aDocument, aFacts.mHost, aFacts.mPath);
+  const auto& document = *aDocument;
+  admission.mDocument = std::move(aDocument);
+  admission.mRoute = FindRoute(document, aFacts.mHost, aFacts.mPath);
   if (admission.mRoute == nullptr) {
     admission.mRefusal = RefusalReason::NoRoute;
     return admission;
   }
-  if (!aDocument.mKeysRequired || admission.mRoute->mPublic) {
+  if (!document.mKeysRequired || admission.mRoute->mPublic) {
     return admission;
   }
-  const auto team = aDocument.mTeamOfKey.find(aFacts.mKey);
-  if (team == aDocument.mTeamOfKey.end()) {
+  const auto team = document.mTeamOfKey.find(aFacts.mKey);
+  if (team == document.mTeamOfKey.end()) {
     admission.mRefusal = RefusalReason::UnknownKey;
   } else {
     admission.mTeam = team->second;
@@ -661,25 +551,28 @@
   return admission;
 }
 
-auto ExpectedWait(std::size_t aAhead, double aSlots, double aMeanSeconds)
-  -> Duration
+auto Relay::RefuseNotReady(CallerPtr aCaller, CallFacts aFacts) -> Task<>
 {
-  if (aSlots <= 0) {
-    return Duration::zero();
-  }
-  const auto seconds = static_cast<double>(aAhead + 1) * aMeanSeconds / aSlots;
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(seconds));
+  LogEvent(Severity::Info,
+           "request_refused",
+           { { "id", aFacts.mId }, { "reason", "no_document" } });
+  const auto starting = Clock::now() < mStartedAt + kStartTime;
+  co_await aCaller->Reply(
+    mProtocol.mRefuse(RefusalReason::NotReady,
+                      aFacts.mId,
+                      starting ? kStartRetryAfter : kNoDocumentRetryAfter));
 }
 
-auto Relay::Serve(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
-  -> Task<>
+auto Relay::Serve(CallerPtr aCaller,
+                  std::shared_ptr<Request> aRequest,
+                  CallFacts aFacts,
+                  Admission aAdmission) -> Task<>
 {
   Exchange exchange;
   exchange.mCaller = aCaller;
-  exchange.mFacts = mProtocol.mReadCall(aRequest->base());
+  exchange.mFacts = std::move(aFacts);
   exchange.mRequest = std::move(aRequest);
-  exchange.mDocument = mState.mDocument;
+  exchange.mDocument = std::move(aAdmission.mDocument);
   const auto refuse = [&](RefusalReason aRefusal,
                           std::optional<milliseconds> aRetryAfter) {
     LogEvent(Severity::Info,
@@ -692,21 +585,25 @@
     return exchange.mCaller->Reply(
       mProtocol.mRefuse(aRefusal, exchange.mFacts.mId, aRetryAfter));
   };
-  if (!exchange.mDocument) {
-    co_await refuse(RefusalReason::NotReady, kDefaultRetryAfter);
-    co_return;
-  }
-  const auto admission = CheckCall(*exchange.mDocument, exchange.mFacts);
-  exchange.mTeam = admission.mTeam;
-  if (admission.mRefusal) {
-    co_await refuse(*admission.mRefusal, std::nullopt);
+  exchange.mTeam = std::move(aAdmission.mTeam);
+  if (aAdmission.mRefusal) {
+    co_await refuse(*aAdmission.mRefusal, std::nullopt);
     co_return;
   }
-  exchange.mRoute = admission.mRoute;
+  exchange.mRoute = aAdmission.mRoute;
   const auto rate = mState.mRates.find(exchange.mTeam);
   const auto now = Clock::now();
   if (rate != mState.mRates.end() && !Admit(rate->second, now)) {
-    const auto wait = NextTokenAt(rate->second, now) - now;
+    const auto hosts = HeardPeers(mState.mFleet) + 1;
+    const auto wait = ReturnAt(rate->second, hosts, now) - now;
+    LogEvent(Severity::Info,
+             "over_rate",
+             { { "id", exchange.mFacts.mId },
+               { "team", exchange.mTeam },
+               { "tokens", absl::StrCat(rate->second.mTokens) },
+               { "rate", absl::StrCat(rate->second.mRate) },
+               { "burst", absl::StrCat(rate->second.mBurst) },
+               { "share", absl::StrCat(rate->second.mShare) } });
     co_await refuse(RefusalReason::OverRate,
                     std::chrono::duration_cast<milliseconds>(wait));
     co_return;
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -13,6 +13,19 @@
 
 namespace mangovalve {
 
+// Who a request comes from, or why it is refused.
+struct Admission
+{
+  std::shared_ptr<const ServingDocument> mDocument; // keeps mRoute valid
+  const ServingRoute* mRoute = nullptr;
+  std::string mTeam;
+  std::optional<RefusalReason> mRefusal;
+};
+
+// Route and key of a call; decides nothing about rates.
+auto CheckCall(std::shared_ptr<const ServingDocument> aDocument,
+               const CallFacts& aFacts) -> Admission;
+
 struct RelayPolicy
 {
   // Part of the latency objective that a request may wait for an endpoint; the
@@ -45,31 +58,21 @@
   {
   }
 
-  // Handles one request of a caller to its end.
-  auto Serve(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
+  // Handles one request of a caller to its end, or refuses it.
+  auto Serve(CallerPtr aCaller,
+             std::shared_ptr<Request> aRequest,
+             CallFacts aFacts,
+             Admission aAdmission) -> Task<>;
+
+  // Refuses a request while there is no document.
+  auto RefuseNotReady(CallerPtr aCaller, CallFacts aFacts) -> Task<>;
 
   RelayPolicy mPolicy;
 
 private:
   ServingState& mState;
   const Protocol& mProtocol;
+  TimePoint mStartedAt = Clock::now();
 };
 
-// Who a request comes from, or why it is refused.
-struct Admission
-{
-  const ServingRoute* mRoute = nullptr; // valid while the document lives
-  std::string mTeam;
-  std::optional<RefusalReason> mRefusal;
-};
-
-// Route and key of a call; decides nothing about rates.
-auto CheckCall(const ServingDocument& aDocument, const CallFacts& aFacts)
-  -> Admission;
-
-// Time that a new request would wait for an endpoint when aAhead requests wait
-// before it and aSlots slots free up once in aMeanSeconds each.
-auto ExpectedWait(std::size_t aAhead, double aSlots, double aMeanSeconds)
-  -> Duration;
-
 } // namespace mangovalve
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -178,7 +178,6 @@
   std::vector<mangovalve::wire::ServiceQueue> queues{};
   std::vector<mangovalve::wire::TeamUse> teams{};
   std::vector<mangovalve::wire::PartitionOwner> partitions{};
-  bool leaving = false;
 };
 
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -194,8 +193,7 @@
     VT_ENDPOINTS = 14,
     VT_QUEUES = 16,
     VT_TEAMS = 18,
-    VT_PARTITIONS = 20,
-    VT_LEAVING = 22
+    VT_PARTITIONS = 20
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -224,9 +222,6 @@
   const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *partitions() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *>(VT_PARTITIONS);
   }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -244,7 +239,6 @@
            verifier.VerifyVector(teams()) &&
            VerifyOffset(verifier, VT_PARTITIONS) &&
            verifier.VerifyVector(partitions()) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -283,9 +277,6 @@
   void add_partitions(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions) {
     fbb_.AddOffset(LoadReport::VT_PARTITIONS, partitions);
   }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(LoadReport::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -309,8 +300,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointUse *>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0,
-    bool leaving = false) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
@@ -321,7 +311,6 @@
   builder_.add_endpoints(endpoints);
   builder_.add_domain(domain);
   builder_.add_host(host);
-  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -340,8 +329,7 @@
     const std::vector<mangovalve::wire::EndpointUse> *endpoints = nullptr,
     const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
-    const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr,
-    bool leaving = false) {
+    const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
@@ -358,8 +346,7 @@
       endpoints__,
       queues__,
       teams__,
-      partitions__,
-      leaving);
+      partitions__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -382,7 +369,6 @@
   { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = *_e->Get(_i); } } }
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
-  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -402,7 +388,6 @@
   auto _queues = _o->queues.size() ? _fbb.CreateVectorOfStructs(_o->queues) : 0;
   auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
-  auto _leaving = _o->leaving;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       _host,
@@ -413,8 +398,7 @@
       _endpoints,
       _queues,
       _teams,
-      _partitions,
-      _leaving);
+      _partitions);
 }
 
 inline const mangovalve::wire::LoadReport *GetLoadReport(const void *buf) {
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -189,20 +189,23 @@
 auto ServingDaemon::HandleCaller(CallerPtr aCaller,
                                  std::shared_ptr<Request> aRequest) -> Task<>
 {
-  const auto document = mState.mDocument;
-  if (document) {
-    const auto facts = mProtocol.mReadCall(aRequest->base());
-    if (const auto call = mProtocol.mReadJobCall(aRequest->base())) {
-      co_await HandleJobCall(aCaller, *call, facts);
-      co_return;
-    }
-    const auto admission = CheckCall(*document, facts);
-    if (!admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch) {
-      co_await mJobs.ServeSubmission(aCaller, aRequest, admission.mTeam, facts);
-      co_return;
-    }
+  auto facts = mProtocol.mReadCall(aRequest->base());
+  if (!mState.mDocument) {
+    co_await mRelay.RefuseNotReady(aCaller, std::move(facts));
+    co_return;
+  }
+  if (const auto call = mProtocol.mReadJobCall(aRequest->base())) {
+    co_await HandleJobCall(aCaller, *call, facts);
+    co_return;
+  }
+  auto admission = CheckCall(mState.mDocument, facts);
+  if (!admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch) {
+    co_await mJobs.ServeSubmission(
+      aCaller, aRequest, admission.mTeam, std::move(facts));
+    co_return;
   }
-  co_await mRelay.Serve(aCaller, aRequest);
+  co_await mRelay.Serve(
+    aCaller, aRequest, std::move(facts), std::move(admission));
 }
 
 auto ServingDaemon::HandleJobCall(CallerPtr aCaller,
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -24,7 +24,6 @@
   std::string mKey;  // empty if there is none
   std::optional<std::chrono::milliseconds> mPatience; // how long it will wait
   std::optional<std::uint64_t> mResumeAfter;          // last event that it has
-  std::optional<std::uint64_t> mTokens; // prompt and output, if told
 };
 
 // How a request goes to an endpoint.
@@ -50,7 +49,6 @@
   bool mSigned = false;        // the endpoint vouches for status and body
   bool mNotRun = false;        // the endpoint did not run the request
   bool mOtherEndpoint = false; // another endpoint has this address now
-  bool mLeaving = false;       // the endpoint may be leaving
   bool mIsEventStream = false;
   std::optional<ReportedLoad> mLoad;
 };
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -16,6 +16,11 @@
 // about how long a load report of a peer may be missing.
 constexpr double kUnseenHalfLifeSeconds = 0.25;
 
+// Part of an endpoint's connections that may be idle; the rest is for those in
+// use, of which a burst needs as many as the endpoint has slots and places in
+// its queue.
+constexpr double kIdlePart = 0.5;
+
 // A peer that has not been heard for this long is silent. Several report
 // intervals, so that lost datagrams do not count.
 constexpr auto kSilentAfter = std::chrono::milliseconds(1500);
@@ -126,6 +131,10 @@
   std::erase_if(aState.mRates, [&](const auto& aRate) {
     return !aDocument->mTeams.contains(aRate.first);
   });
+  aState.mRateOfHash.clear();
+  for (auto& [name, rate] : aState.mRates) {
+    aState.mRateOfHash[StableHash(name)] = &rate;
+  }
   LogEvent(Severity::Info,
            "document_in_force",
            { { "version", absl::StrCat(aDocument->mVersion) },
@@ -206,6 +215,26 @@
                                : mEndpoint->mOwn.mBatch;
 }
 
+auto IdleShare(std::uint32_t aMaxConnections, std::size_t aHosts) -> std::size_t
+{
+  if (aMaxConnections == 0) {
+    return kMaxIdleConnections;
+  }
+  const auto share = kIdlePart * aMaxConnections / static_cast<double>(aHosts);
+  return std::clamp<std::size_t>(
+    static_cast<std::size_t>(share), 1, kMaxIdleConnections);
+}
+
+auto IdleLimit(const ServingState& aState, const Endpoint& aEndpoint)
+  -> std::size_t
+{
+  const auto& services = aState.mDocument->mServices;
+  const auto service = services.find(aEndpoint.mRegistration.mService);
+  return IdleShare(service == services.end() ? 0
+                                             : service->second.mMaxConnections,
+                   aState.mFleet.mPeers.size() + 1);
+}
+
 auto WakeFirst(ServicePool& aPool) -> void
 {
   if (!aPool.mLine.empty()) {
@@ -258,23 +287,15 @@
   }
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
-  absl::flat_hash_map<std::uint64_t, const wire::TeamUse*> uses;
   for (const auto& use : report.teams) {
-    uses[use.team()] = &use;
-  }
-  for (auto& [name, rate] : aState.mRates) {
-    const auto use = uses.find(StableHash(name));
-    if (use == uses.end()) {
-      continue;
+    const auto found = aState.mRateOfHash.find(use.team());
+    if (found == aState.mRateOfHash.end()) {
+      continue; // the peer has another version of the document
     }
-    NotePeer(rate,
-             host,
-             report.incarnation,
-             use->second->admitted(),
-             startedLater,
-             now);
+    auto& rate = *found->second;
+    NotePeer(rate, host, report.incarnation, use.admitted(), startedLater, now);
     if (back && !startedLater) {
-      LowerTo(rate, use->second->level());
+      LowerTo(rate, use.level());
     }
   }
   if (back) {
@@ -312,10 +333,10 @@
     }
   }
   const auto changedAfter = Clock::now() - kReportAdmissionsFor;
-  for (const auto& [name, rate] : aState.mRates) {
-    if (rate.mChangedAt > changedAfter) {
+  for (const auto& [hash, rate] : aState.mRateOfHash) {
+    if (rate->mChangedAt > changedAfter) {
       report.teams.emplace_back(
-        StableHash(name), rate.mAdmitted, static_cast<float>(rate.mTokens));
+        hash, rate->mAdmitted, static_cast<float>(rate->mTokens));
     }
   }
   return report;
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -77,6 +77,8 @@
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
   std::map<std::string, FleetRate> mRates;   // by team
+  // The same rates by hash of the team, as load reports name them.
+  std::map<std::uint64_t, FleetRate*> mRateOfHash;
   ConnectionPool mPool;
   Random mRandom;
   std::uint64_t mNextWaiter = 0;
@@ -119,6 +121,15 @@
   Work mWork;
 };
 
+// Idle connections that a host keeps to an endpoint which takes
+// aMaxConnections from aHosts hosts together; 0 means that it names no limit.
+auto IdleShare(std::uint32_t aMaxConnections, std::size_t aHosts)
+  -> std::size_t;
+
+// The same for an endpoint, by the document and the hosts known.
+auto IdleLimit(const ServingState& aState, const Endpoint& aEndpoint)
+  -> std::size_t;
+
 // Wakes the first request that waits for the service.
 auto WakeFirst(ServicePool& aPool) -> void;
 auto WakeAllFirsts(ServingState& aState) -> void;
