Hand the progress of batch items from one owner of a partition to the next

Cause: each move of a job partition (rebalance, store that turns a host away, planned stop) threw the events of all running items away, and results that the former owner could not write. A new owner now asks the last one that it heard for events, failures and unwritten results, once its fence is set; a host that is stopped gives its partitions up at once instead of holding them for 3.5 s.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -114,6 +114,22 @@
   }
 }
 
+auto ItemRunner::StopPartition(const JobPartition& aPartition) -> void
+{
+  for (const auto& run : mRunning) {
+    if (run->mPartition.get() == &aPartition) {
+      Stop(*run);
+    }
+  }
+}
+
+auto ItemRunner::StopAll() -> void
+{
+  for (const auto& run : mRunning) {
+    Stop(*run);
+  }
+}
+
 // The owner that has taken a partition over runs its items again, so going on
 // with them here would only hold slots.
 auto ItemRunner::StopLost() -> void
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -55,8 +55,10 @@
   auto Pause() -> void { mPaused = true; }
   auto Running() const -> std::size_t { return mRunning.size(); }
 
-  // Stops the running items of a job.
+  // Stops the running items of a job, of a partition, or all of them.
   auto StopJob(const SubmittedJob& aJob) -> void;
+  auto StopPartition(const JobPartition& aPartition) -> void;
+  auto StopAll() -> void;
 
   ItemRunnerPolicy mPolicy;
 
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -53,12 +53,14 @@
                            const TablePorts& aTables,
                            std::uint32_t aPartition,
                            std::uint64_t aGeneration,
-                           WallTime aStartedAt)
+                           WallTime aStartedAt,
+                           ProgressSource aFormer)
   : mLoop(aLoop)
   , mTables(aTables)
   , mPartition(aPartition)
   , mGeneration(aGeneration)
   , mToken(FenceToken(aGeneration, aStartedAt))
+  , mFormer(std::move(aFormer))
   , mQueued(aLoop)
 {
 }
@@ -68,6 +70,7 @@
   const auto self = shared_from_this(); // lives until its last append
   const auto opened = co_await Open();
   if (opened) {
+    co_await TakeProgress();
     mLoaded = true;
     LogEvent(Severity::Info,
              "partition_owned",
@@ -134,6 +137,27 @@
   co_return false;
 }
 
+// The fence is set, so what the former owner has of an item now is all that it
+// will ever have; without it the item's run would start anew.
+auto JobPartition::TakeProgress() -> Task<>
+{
+  if (!mFormer || mTable.mJobs.empty()) {
+    co_return;
+  }
+  const auto page = co_await mFormer(mPartition, mGeneration);
+  auto taken = ApplyProgress(mTable, page);
+  for (auto& item : taken.mCompleted) {
+    auto& output = item.mJob->mItems[item.mIndex].mOutput;
+    Finish(item.mJob, item.mIndex, true, std::move(output));
+  }
+  LogEvent(Severity::Info,
+           "progress_taken",
+           { { "partition", absl::StrCat(mPartition) },
+             { "items", absl::StrCat(taken.mItems) },
+             { "completed", absl::StrCat(taken.mCompleted.size()) },
+             { "events", absl::StrCat(taken.mEvents) } });
+}
+
 auto JobPartition::LoadPages() -> Task<bool>
 {
   std::vector<KeyedRecord> records;
@@ -226,7 +250,9 @@
     }
     std::vector<Write> writes;
     const auto records = TakeBatch(writes);
+    mAppending = true;
     const auto appended = co_await AppendUntilDurable(records);
+    mAppending = false;
     if (!appended) {
       co_return;
     }
@@ -320,10 +346,15 @@
                           std::string aOutput) -> void
 {
   auto& item = aJob->mItems[aItem];
-  if (item.mFinished || mStopped) {
+  if (item.mFinished) {
     return;
   }
   item.mFinished = true;
+  item.mCompleted = aCompleted;
+  item.mOutput = aOutput; // for a next owner, until the result is durable
+  if (mStopped) {
+    return;
+  }
   const auto result = std::make_shared<BatchResult>(
     BatchResult{ aItem, aCompleted, std::move(aOutput) });
   auto records = ResultRecords(
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -24,15 +24,21 @@
 
 namespace mangovalve {
 
+// Asks the owner before this one what it has of the partition's items.
+using ProgressSource =
+  std::function<auto(std::uint32_t aPartition, std::uint64_t aGeneration)
+                  ->Task<wire::ProgressPageT>>;
+
 class JobPartition : public std::enable_shared_from_this<JobPartition>
 {
 public:
-  // aStartedAt: when this process started.
+  // aStartedAt: when this process started. aFormer may be empty.
   JobPartition(asio::io_context& aLoop,
                const TablePorts& aTables,
                std::uint32_t aPartition,
                std::uint64_t aGeneration,
-               WallTime aStartedAt);
+               WallTime aStartedAt,
+               ProgressSource aFormer = nullptr);
 
   // Fences former owners, loads the jobs, then appends records until it is
   // stopped or fenced itself.
@@ -44,6 +50,8 @@
   // Loaded and not known to have lost the partition.
   auto Active() const -> bool { return mLoaded && !mStopped; }
   auto Stopped() const -> bool { return mStopped; }
+  // Whether all that was recorded is durable.
+  auto Flushed() const -> bool { return mQueue.empty() && !mAppending; }
   // Whether the last call to the store got an answer.
   auto StoreAnswers() const -> bool { return mStoreAnswers; }
   auto Jobs() -> JobTable& { return mTable; }
@@ -82,6 +90,7 @@
 
   auto Open() -> Task<bool>;
   auto SetFence() -> Task<bool>;
+  auto TakeProgress() -> Task<>;
   auto LoadPages() -> Task<bool>;
   auto AppendQueued() -> Task<>;
   auto AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
@@ -104,6 +113,8 @@
   bool mLoaded = false;
   bool mStopped = false;
   bool mStoreAnswers = true;
+  bool mAppending = false;
+  ProgressSource mFormer;
   std::deque<Write> mQueue; // in the order in which they must be durable
   Wakeup mQueued;
   std::vector<Wakeup*> mWaiters; // tasks that wait for something durable
--- a/mangovalve/batch/job_records_generated.h
+++ b/mangovalve/batch/job_records_generated.h
@@ -43,6 +43,18 @@
 struct JobQueryBuilder;
 struct JobQueryT;
 
+struct ItemProgress;
+struct ItemProgressBuilder;
+struct ItemProgressT;
+
+struct ProgressQuery;
+struct ProgressQueryBuilder;
+struct ProgressQueryT;
+
+struct ProgressPage;
+struct ProgressPageBuilder;
+struct ProgressPageT;
+
 struct HeaderFieldT : public flatbuffers::NativeTable
 {
   typedef HeaderField TableType;
@@ -1020,6 +1032,376 @@
   const JobQueryT* _o,
   const flatbuffers::rehasher_function_t* _rehasher = nullptr);
 
+struct ItemProgressT : public flatbuffers::NativeTable
+{
+  typedef ItemProgress TableType;
+  std::string team{};
+  std::string job{};
+  uint32_t item = 0;
+  uint64_t last_event = 0;
+  uint32_t events = 0;
+  bool completed = false;
+  std::vector<uint8_t> output{};
+  uint32_t failures = 0;
+};
+
+struct ItemProgress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table
+{
+  typedef ItemProgressT NativeTableType;
+  typedef ItemProgressBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE
+  {
+    VT_TEAM = 4,
+    VT_JOB = 6,
+    VT_ITEM = 8,
+    VT_LAST_EVENT = 10,
+    VT_EVENTS = 12,
+    VT_COMPLETED = 14,
+    VT_OUTPUT = 16,
+    VT_FAILURES = 18
+  };
+  const flatbuffers::String* team() const
+  {
+    return GetPointer<const flatbuffers::String*>(VT_TEAM);
+  }
+  const flatbuffers::String* job() const
+  {
+    return GetPointer<const flatbuffers::String*>(VT_JOB);
+  }
+  uint32_t item() const { return GetField<uint32_t>(VT_ITEM, 0); }
+  uint64_t last_event() const { return GetField<uint64_t>(VT_LAST_EVENT, 0); }
+  uint32_t events() const { return GetField<uint32_t>(VT_EVENTS, 0); }
+  bool completed() const { return GetField<uint8_t>(VT_COMPLETED, 0) != 0; }
+  const flatbuffers::Vector<uint8_t>* output() const
+  {
+    return GetPointer<const flatbuffers::Vector<uint8_t>*>(VT_OUTPUT);
+  }
+  uint32_t failures() const { return GetField<uint32_t>(VT_FAILURES, 0); }
+  bool Verify(flatbuffers::Verifier& verifier) const
+  {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_ITEM, 4) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_EVENT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_EVENTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETED, 1) &&
+           VerifyOffset(verifier, VT_OUTPUT) &&
+           verifier.VerifyVector(output()) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           verifier.EndTable();
+  }
+  ItemProgressT* UnPack(
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  void UnPackTo(
+    ItemProgressT* _o,
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  static flatbuffers::Offset<ItemProgress> Pack(
+    flatbuffers::FlatBufferBuilder& _fbb,
+    const ItemProgressT* _o,
+    const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+};
+
+struct ItemProgressBuilder
+{
+  typedef ItemProgress Table;
+  flatbuffers::FlatBufferBuilder& fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::String> team)
+  {
+    fbb_.AddOffset(ItemProgress::VT_TEAM, team);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job)
+  {
+    fbb_.AddOffset(ItemProgress::VT_JOB, job);
+  }
+  void add_item(uint32_t item)
+  {
+    fbb_.AddElement<uint32_t>(ItemProgress::VT_ITEM, item, 0);
+  }
+  void add_last_event(uint64_t last_event)
+  {
+    fbb_.AddElement<uint64_t>(ItemProgress::VT_LAST_EVENT, last_event, 0);
+  }
+  void add_events(uint32_t events)
+  {
+    fbb_.AddElement<uint32_t>(ItemProgress::VT_EVENTS, events, 0);
+  }
+  void add_completed(bool completed)
+  {
+    fbb_.AddElement<uint8_t>(
+      ItemProgress::VT_COMPLETED, static_cast<uint8_t>(completed), 0);
+  }
+  void add_output(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> output)
+  {
+    fbb_.AddOffset(ItemProgress::VT_OUTPUT, output);
+  }
+  void add_failures(uint32_t failures)
+  {
+    fbb_.AddElement<uint32_t>(ItemProgress::VT_FAILURES, failures, 0);
+  }
+  explicit ItemProgressBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+    : fbb_(_fbb)
+  {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ItemProgress> Finish()
+  {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ItemProgress>(end);
+    fbb_.Required(o, ItemProgress::VT_TEAM);
+    fbb_.Required(o, ItemProgress::VT_JOB);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ItemProgress> CreateItemProgress(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  flatbuffers::Offset<flatbuffers::String> team = 0,
+  flatbuffers::Offset<flatbuffers::String> job = 0,
+  uint32_t item = 0,
+  uint64_t last_event = 0,
+  uint32_t events = 0,
+  bool completed = false,
+  flatbuffers::Offset<flatbuffers::Vector<uint8_t>> output = 0,
+  uint32_t failures = 0)
+{
+  ItemProgressBuilder builder_(_fbb);
+  builder_.add_last_event(last_event);
+  builder_.add_failures(failures);
+  builder_.add_output(output);
+  builder_.add_events(events);
+  builder_.add_item(item);
+  builder_.add_job(job);
+  builder_.add_team(team);
+  builder_.add_completed(completed);
+  return builder_.Finish();
+}
+
+struct ItemProgress::Traits
+{
+  using type = ItemProgress;
+  static auto constexpr Create = CreateItemProgress;
+};
+
+inline flatbuffers::Offset<ItemProgress> CreateItemProgressDirect(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const char* team = nullptr,
+  const char* job = nullptr,
+  uint32_t item = 0,
+  uint64_t last_event = 0,
+  uint32_t events = 0,
+  bool completed = false,
+  const std::vector<uint8_t>* output = nullptr,
+  uint32_t failures = 0)
+{
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto output__ = output ? _fbb.CreateVector<uint8_t>(*output) : 0;
+  return mangovalve::wire::CreateItemProgress(_fbb,
+                                              team__,
+                                              job__,
+                                              item,
+                                              last_event,
+                                              events,
+                                              completed,
+                                              output__,
+                                              failures);
+}
+
+flatbuffers::Offset<ItemProgress> CreateItemProgress(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ItemProgressT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
+struct ProgressQueryT : public flatbuffers::NativeTable
+{
+  typedef ProgressQuery TableType;
+  uint32_t partition = 0;
+  uint64_t generation = 0;
+};
+
+struct ProgressQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table
+{
+  typedef ProgressQueryT NativeTableType;
+  typedef ProgressQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE
+  {
+    VT_PARTITION = 4,
+    VT_GENERATION = 6
+  };
+  uint32_t partition() const { return GetField<uint32_t>(VT_PARTITION, 0); }
+  uint64_t generation() const { return GetField<uint64_t>(VT_GENERATION, 0); }
+  bool Verify(flatbuffers::Verifier& verifier) const
+  {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_PARTITION, 4) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           verifier.EndTable();
+  }
+  ProgressQueryT* UnPack(
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  void UnPackTo(
+    ProgressQueryT* _o,
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  static flatbuffers::Offset<ProgressQuery> Pack(
+    flatbuffers::FlatBufferBuilder& _fbb,
+    const ProgressQueryT* _o,
+    const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+};
+
+struct ProgressQueryBuilder
+{
+  typedef ProgressQuery Table;
+  flatbuffers::FlatBufferBuilder& fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_partition(uint32_t partition)
+  {
+    fbb_.AddElement<uint32_t>(ProgressQuery::VT_PARTITION, partition, 0);
+  }
+  void add_generation(uint64_t generation)
+  {
+    fbb_.AddElement<uint64_t>(ProgressQuery::VT_GENERATION, generation, 0);
+  }
+  explicit ProgressQueryBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+    : fbb_(_fbb)
+  {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProgressQuery> Finish()
+  {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProgressQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProgressQuery> CreateProgressQuery(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  uint32_t partition = 0,
+  uint64_t generation = 0)
+{
+  ProgressQueryBuilder builder_(_fbb);
+  builder_.add_generation(generation);
+  builder_.add_partition(partition);
+  return builder_.Finish();
+}
+
+struct ProgressQuery::Traits
+{
+  using type = ProgressQuery;
+  static auto constexpr Create = CreateProgressQuery;
+};
+
+flatbuffers::Offset<ProgressQuery> CreateProgressQuery(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressQueryT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
+struct ProgressPageT : public flatbuffers::NativeTable
+{
+  typedef ProgressPage TableType;
+  std::vector<std::unique_ptr<mangovalve::wire::ItemProgressT>> items{};
+  ProgressPageT() = default;
+  ProgressPageT(const ProgressPageT& o);
+  ProgressPageT(ProgressPageT&&) FLATBUFFERS_NOEXCEPT = default;
+  ProgressPageT& operator=(ProgressPageT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ProgressPage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table
+{
+  typedef ProgressPageT NativeTableType;
+  typedef ProgressPageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE
+  {
+    VT_ITEMS = 4
+  };
+  const flatbuffers::Vector<
+    flatbuffers::Offset<mangovalve::wire::ItemProgress>>*
+  items() const
+  {
+    return GetPointer<const flatbuffers::Vector<
+      flatbuffers::Offset<mangovalve::wire::ItemProgress>>*>(VT_ITEMS);
+  }
+  bool Verify(flatbuffers::Verifier& verifier) const
+  {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.VerifyVectorOfTables(items()) && verifier.EndTable();
+  }
+  ProgressPageT* UnPack(
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  void UnPackTo(
+    ProgressPageT* _o,
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  static flatbuffers::Offset<ProgressPage> Pack(
+    flatbuffers::FlatBufferBuilder& _fbb,
+    const ProgressPageT* _o,
+    const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+};
+
+struct ProgressPageBuilder
+{
+  typedef ProgressPage Table;
+  flatbuffers::FlatBufferBuilder& fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<
+                   flatbuffers::Offset<mangovalve::wire::ItemProgress>>> items)
+  {
+    fbb_.AddOffset(ProgressPage::VT_ITEMS, items);
+  }
+  explicit ProgressPageBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+    : fbb_(_fbb)
+  {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProgressPage> Finish()
+  {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProgressPage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProgressPage> CreateProgressPage(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  flatbuffers::Offset<flatbuffers::Vector<
+    flatbuffers::Offset<mangovalve::wire::ItemProgress>>> items = 0)
+{
+  ProgressPageBuilder builder_(_fbb);
+  builder_.add_items(items);
+  return builder_.Finish();
+}
+
+struct ProgressPage::Traits
+{
+  using type = ProgressPage;
+  static auto constexpr Create = CreateProgressPage;
+};
+
+inline flatbuffers::Offset<ProgressPage> CreateProgressPageDirect(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const std::vector<flatbuffers::Offset<mangovalve::wire::ItemProgress>>*
+    items = nullptr)
+{
+  auto items__ =
+    items
+      ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::ItemProgress>>(
+          *items)
+      : 0;
+  return mangovalve::wire::CreateProgressPage(_fbb, items__);
+}
+
+flatbuffers::Offset<ProgressPage> CreateProgressPage(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressPageT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
 inline HeaderFieldT* HeaderField::UnPack(
   const flatbuffers::resolver_function_t* _resolver) const
 {
@@ -1596,6 +1978,228 @@
     _fbb, _team, _job, _item, _after, _wait_ms);
 }
 
+inline ItemProgressT* ItemProgress::UnPack(
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  auto _o = std::make_unique<ItemProgressT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ItemProgress::UnPackTo(
+  ItemProgressT* _o,
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  (void)_o;
+  (void)_resolver;
+  {
+    auto _e = team();
+    if (_e)
+      _o->team = _e->str();
+  }
+  {
+    auto _e = job();
+    if (_e)
+      _o->job = _e->str();
+  }
+  {
+    auto _e = item();
+    _o->item = _e;
+  }
+  {
+    auto _e = last_event();
+    _o->last_event = _e;
+  }
+  {
+    auto _e = events();
+    _o->events = _e;
+  }
+  {
+    auto _e = completed();
+    _o->completed = _e;
+  }
+  {
+    auto _e = output();
+    if (_e) {
+      _o->output.resize(_e->size());
+      std::copy(_e->begin(), _e->end(), _o->output.begin());
+    }
+  }
+  {
+    auto _e = failures();
+    _o->failures = _e;
+  }
+}
+
+inline flatbuffers::Offset<ItemProgress> ItemProgress::Pack(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ItemProgressT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  return CreateItemProgress(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ItemProgress> CreateItemProgress(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ItemProgressT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs
+  {
+    flatbuffers::FlatBufferBuilder* __fbb;
+    const ItemProgressT* __o;
+    const flatbuffers::rehasher_function_t* __rehasher;
+  } _va = { &_fbb, _o, _rehasher };
+  (void)_va;
+  auto _team = _fbb.CreateString(_o->team);
+  auto _job = _fbb.CreateString(_o->job);
+  auto _item = _o->item;
+  auto _last_event = _o->last_event;
+  auto _events = _o->events;
+  auto _completed = _o->completed;
+  auto _output = _o->output.size() ? _fbb.CreateVector(_o->output) : 0;
+  auto _failures = _o->failures;
+  return mangovalve::wire::CreateItemProgress(_fbb,
+                                              _team,
+                                              _job,
+                                              _item,
+                                              _last_event,
+                                              _events,
+                                              _completed,
+                                              _output,
+                                              _failures);
+}
+
+inline ProgressQueryT* ProgressQuery::UnPack(
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  auto _o = std::make_unique<ProgressQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProgressQuery::UnPackTo(
+  ProgressQueryT* _o,
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  (void)_o;
+  (void)_resolver;
+  {
+    auto _e = partition();
+    _o->partition = _e;
+  }
+  {
+    auto _e = generation();
+    _o->generation = _e;
+  }
+}
+
+inline flatbuffers::Offset<ProgressQuery> ProgressQuery::Pack(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressQueryT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  return CreateProgressQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ProgressQuery> CreateProgressQuery(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressQueryT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs
+  {
+    flatbuffers::FlatBufferBuilder* __fbb;
+    const ProgressQueryT* __o;
+    const flatbuffers::rehasher_function_t* __rehasher;
+  } _va = { &_fbb, _o, _rehasher };
+  (void)_va;
+  auto _partition = _o->partition;
+  auto _generation = _o->generation;
+  return mangovalve::wire::CreateProgressQuery(_fbb, _partition, _generation);
+}
+
+inline ProgressPageT::ProgressPageT(const ProgressPageT& o)
+{
+  items.reserve(o.items.size());
+  for (const auto& items_ : o.items) {
+    items.emplace_back((items_) ? new mangovalve::wire::ItemProgressT(*items_)
+                                : nullptr);
+  }
+}
+
+inline ProgressPageT& ProgressPageT::operator=(ProgressPageT o)
+  FLATBUFFERS_NOEXCEPT
+{
+  std::swap(items, o.items);
+  return *this;
+}
+
+inline ProgressPageT* ProgressPage::UnPack(
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  auto _o = std::make_unique<ProgressPageT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProgressPage::UnPackTo(
+  ProgressPageT* _o,
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  (void)_o;
+  (void)_resolver;
+  {
+    auto _e = items();
+    if (_e) {
+      _o->items.resize(_e->size());
+      for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) {
+        _o->items[_i] = std::unique_ptr<mangovalve::wire::ItemProgressT>(
+          _e->Get(_i)->UnPack(_resolver));
+      }
+    }
+  }
+}
+
+inline flatbuffers::Offset<ProgressPage> ProgressPage::Pack(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressPageT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  return CreateProgressPage(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ProgressPage> CreateProgressPage(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ProgressPageT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs
+  {
+    flatbuffers::FlatBufferBuilder* __fbb;
+    const ProgressPageT* __o;
+    const flatbuffers::rehasher_function_t* __rehasher;
+  } _va = { &_fbb, _o, _rehasher };
+  (void)_va;
+  auto _items =
+    _o->items.size()
+      ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::ItemProgress>>(
+          _o->items.size(),
+          [](size_t i, _VectorArgs* __va) {
+            return CreateItemProgress(
+              *__va->__fbb, __va->__o->items[i].get(), __va->__rehasher);
+          },
+          &_va)
+      : 0;
+  return mangovalve::wire::CreateProgressPage(_fbb, _items);
+}
+
 inline const mangovalve::wire::Job* GetJob(const void* buf)
 {
   return flatbuffers::GetRoot<mangovalve::wire::Job>(buf);
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -26,6 +26,11 @@
   200, 404, 429, 503, 504, 421
 };
 
+constexpr auto kProgressPath = "/jobs/progress";
+
+// Bytes of progress in one answer: some hundred items.
+constexpr std::size_t kProgressBytes = 8UL << 20U;
+
 // Bytes of results in one answer; callers take 1 MB at most.
 constexpr std::size_t kPageBytes = 900UL << 10U;
 
@@ -34,6 +39,7 @@
 constexpr auto kMaxWait = milliseconds(1000);
 
 constexpr auto kOwnerPause = milliseconds(60);
+constexpr auto kFlushPoll = milliseconds(10);
 constexpr auto kDropInterval = std::chrono::seconds(5);
 
 // Jobs are kept this much longer than promised, since clocks differ.
@@ -154,6 +160,7 @@
       mLeaseUntil = sentAt + mPolicy.mTimeToLive;
       TakeShare(*share);
     }
+    ForgetFormer(Clock::now());
     co_await SleepUntil(started + mPolicy.mJoinInterval);
   }
 }
@@ -165,7 +172,7 @@
                                      aShare.mPartitions.end());
   for (auto it = mPartitions.begin(); it != mPartitions.end();) {
     if (!held.contains(it->first) || it->second->Stopped()) {
-      it->second->Stop();
+      Release(it->second);
       it = mPartitions.erase(it);
     } else {
       ++it;
@@ -174,13 +181,90 @@
   for (const auto number : held) {
     if (!mPartitions.contains(number)) {
       auto partition = std::make_shared<JobPartition>(
-        mState.mLoop, mTables, number, mGeneration, mStartedAt);
+        mState.mLoop,
+        mTables,
+        number,
+        mGeneration,
+        mStartedAt,
+        [this](std::uint32_t aPartition, std::uint64_t aGeneration) {
+          return FetchProgress(aPartition, aGeneration);
+        });
       mPartitions[number] = partition;
       Spawn(mState.mLoop, partition->Run());
     }
   }
 }
 
+auto JobService::Release(JobPartitionPtr aPartition) -> void
+{
+  aPartition->Stop();
+  mRunner.StopPartition(*aPartition);
+  const auto keepUntil = Clock::now() + mPolicy.mKeepFormer;
+  auto& former = mFormer[aPartition->Number()];
+  former = FormerPartition{ std::move(aPartition), keepUntil };
+}
+
+auto JobService::ForgetFormer(TimePoint aNow) -> void
+{
+  std::erase_if(mFormer, [aNow](const auto& aEntry) {
+    return aEntry.second.mKeepUntil < aNow;
+  });
+}
+
+auto JobService::FetchProgress(std::uint32_t aPartition,
+                               std::uint64_t aGeneration)
+  -> Task<wire::ProgressPageT>
+{
+  wire::ProgressQueryT query;
+  query.partition = aPartition;
+  query.generation = aGeneration;
+  const auto former = LastOwnerOf(mState.mFleet, aPartition);
+  // The partition may come back to the host that had it last.
+  const auto own = mFormer.find(aPartition);
+  if (own != mFormer.end() &&
+      (!former || former->mGeneration < own->second.mPartition->Generation())) {
+    co_return ProgressOf(own->second.mPartition->Jobs(), kProgressBytes);
+  }
+  if (!former || former->mGeneration >= aGeneration) {
+    co_return wire::ProgressPageT();
+  }
+  Request request(http::verb::post, kProgressPath, 11);
+  request.set(http::field::host, former->mHost);
+  request.body() = PackTable<wire::ProgressQuery>(query);
+  const auto response =
+    co_await CallOnce(mState.mPool,
+                      former->mHost,
+                      std::move(request),
+                      Clock::now() + mPolicy.mProgressTimeout);
+  if (!response || response->result() != http::status::ok) {
+    LogEvent(Severity::Warn,
+             "progress_missing",
+             { { "partition", absl::StrCat(aPartition) },
+               { "former", former->mHost } });
+    co_return wire::ProgressPageT();
+  }
+  auto page = UnpackTable<wire::ProgressPage>(response->body());
+  co_return std::move(page).value_or(wire::ProgressPageT());
+}
+
+auto JobService::GiveProgress(const wire::ProgressQueryT& aQuery)
+  -> std::optional<wire::ProgressPageT>
+{
+  const auto held = mPartitions.find(aQuery.partition);
+  if (held != mPartitions.end() &&
+      held->second->Generation() < aQuery.generation) {
+    // The asker has fenced this owner, which may not have noticed yet.
+    Release(held->second);
+    mPartitions.erase(held);
+  }
+  const auto former = mFormer.find(aQuery.partition);
+  if (former == mFormer.end() ||
+      former->second.mPartition->Generation() >= aQuery.generation) {
+    return std::nullopt;
+  }
+  return ProgressOf(former->second.mPartition->Jobs(), kProgressBytes);
+}
+
 auto JobService::DropOldJobs() -> Task<>
 {
   for (;;) {
@@ -213,12 +297,20 @@
 auto JobService::Drain(TimePoint aUntil) -> Task<>
 {
   mRunner.Pause();
-  while (mRunner.Running() > 0 && Clock::now() < aUntil) {
-    co_await SleepUntil(Clock::now() + mPolicy.mJoinInterval / 4);
+  mRunner.StopAll();
+  const auto busy = [this] {
+    return mRunner.Running() > 0 ||
+           std::any_of(
+             mPartitions.begin(), mPartitions.end(), [](const auto& aEntry) {
+               return aEntry.second->Active() && !aEntry.second->Flushed();
+             });
+  };
+  while (busy() && Clock::now() < aUntil) {
+    co_await SleepUntil(Clock::now() + kFlushPoll);
   }
   mLeaving = true;
   for (const auto& [number, partition] : mPartitions) {
-    partition->Stop();
+    Release(partition);
   }
   mPartitions.clear();
   const auto left =
@@ -424,10 +516,26 @@
     mProtocol.mJobAnswer(JobVerb::Submit, reply, aFacts.mId));
 }
 
+auto JobService::ServeProgress(CallerPtr aCaller, std::string aQuery) -> Task<>
+{
+  const auto query = UnpackTable<wire::ProgressQuery>(aQuery);
+  const auto page =
+    query ? GiveProgress(*query) : std::optional<wire::ProgressPageT>();
+  Response response(page ? http::status::ok : http::status::not_found, 11);
+  if (page) {
+    response.body() = PackTable<wire::ProgressPage>(*page);
+  }
+  co_await aCaller->Reply(std::move(response));
+}
+
 auto JobService::ServePeer(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
   -> Task<bool>
 {
   const auto target = aRequest->target();
+  if (target == kProgressPath) {
+    co_await ServeProgress(aCaller, aRequest->body());
+    co_return true;
+  }
   const auto verb = VerbOf(std::string_view(target.data(), target.size()));
   if (!verb) {
     co_return false;
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -26,6 +26,12 @@
   Duration mCallTimeout = std::chrono::milliseconds(1500);
   // How long a call waits for a partition to get an owner.
   Duration mOwnerWait = std::chrono::milliseconds(400);
+  // Bound on the question to a former owner. It delays a take-over, and saves
+  // the runs of items, of some seconds each.
+  Duration mProgressTimeout = std::chrono::milliseconds(500);
+  // How long a former owner keeps what it has of a partition: the next one
+  // joins the group at most one interval later, then sets its fence.
+  Duration mKeepFormer = std::chrono::milliseconds(4000);
   // Results stay readable this long after the submission.
   std::chrono::milliseconds mKeepResults{ 120000 };
 };
@@ -57,8 +63,9 @@
   // Adds the partitions owned to a load report.
   auto AddClaims(wire::LoadReportT& aReport) const -> void;
 
-  // Starts no more items, and gives the partitions back once the running ones
-  // have ended or aUntil has passed.
+  // Stops all items and gives the partitions back once what was recorded is
+  // durable or aUntil has passed. Their next owners can ask for the progress of
+  // the items until the process ends.
   auto Drain(TimePoint aUntil) -> Task<>;
 
   JobServicePolicy mPolicy;
@@ -74,6 +81,15 @@
 
   auto KeepMembership() -> Task<>;
   auto TakeShare(const GroupShare& aShare) -> void;
+  // Stops a partition that is no longer held and keeps it for its next owner.
+  auto Release(JobPartitionPtr aPartition) -> void;
+  auto ForgetFormer(TimePoint aNow) -> void;
+  auto FetchProgress(std::uint32_t aPartition, std::uint64_t aGeneration)
+    -> Task<wire::ProgressPageT>;
+  // The progress of a partition that this daemon has lost to the asker.
+  auto GiveProgress(const wire::ProgressQueryT& aQuery)
+    -> std::optional<wire::ProgressPageT>;
+  auto ServeProgress(CallerPtr aCaller, std::string aQuery) -> Task<>;
   auto DropOldJobs() -> Task<>;
   auto LeaseHolds() const -> bool;
   auto Ask(Question aQuestion) -> Task<JobResponse>;
@@ -96,6 +112,12 @@
   const TablePorts& mTables;
   ItemRunner mRunner;
   std::map<std::uint32_t, JobPartitionPtr> mPartitions;
+  struct FormerPartition
+  {
+    JobPartitionPtr mPartition;
+    TimePoint mKeepUntil;
+  };
+  std::map<std::uint32_t, FormerPartition> mFormer; // none is in mPartitions
   std::uint64_t mGeneration = 0;
   WallTime mStartedAt = WallNow();
   BootTime mLeaseUntil{};
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -271,6 +271,66 @@
   return items;
 }
 
+auto ProgressOf(const JobTable& aTable, std::size_t aMaxBytes)
+  -> wire::ProgressPageT
+{
+  wire::ProgressPageT page;
+  std::size_t bytes = 0;
+  for (const auto& [key, job] : aTable.mJobs) {
+    for (std::uint32_t i = 0; i < job->mItems.size() && !job->mEnded; ++i) {
+      const auto& item = job->mItems[i];
+      // Without the number of its last event a run can't go on after it.
+      const auto resumable = item.mLastEvent && !item.mOutput.empty();
+      if (bytes > aMaxBytes || (!resumable && item.mFailures == 0)) {
+        continue;
+      }
+      auto progress = std::make_unique<wire::ItemProgressT>();
+      progress->team = job->mTeam;
+      progress->job = job->mId;
+      progress->item = i;
+      progress->failures = item.mFailures;
+      if (resumable) {
+        progress->last_event = *item.mLastEvent;
+        progress->events = item.mEvents;
+        progress->completed = item.mFinished && item.mCompleted;
+        progress->output.assign(item.mOutput.begin(), item.mOutput.end());
+      }
+      bytes += item.mOutput.size();
+      page.items.push_back(std::move(progress));
+    }
+  }
+  return page;
+}
+
+auto ApplyProgress(JobTable& aTable, const wire::ProgressPageT& aPage)
+  -> TakenProgress
+{
+  TakenProgress taken;
+  for (const auto& progress : aPage.items) {
+    const auto job = FindJob(aTable, progress->team, progress->job);
+    if (!job || job->mEnded || progress->item >= job->mItems.size()) {
+      continue;
+    }
+    auto& item = job->mItems[progress->item];
+    if (item.mFinished || item.mRunning) {
+      continue;
+    }
+    item.mFailures = std::max(item.mFailures, progress->failures);
+    if (item.mEvents >= progress->events) {
+      continue;
+    }
+    item.mOutput.assign(progress->output.begin(), progress->output.end());
+    item.mLastEvent = progress->last_event;
+    item.mEvents = progress->events;
+    ++taken.mItems;
+    taken.mEvents += progress->events;
+    if (progress->completed) {
+      taken.mCompleted.push_back({ job, progress->item, {}, false });
+    }
+  }
+  return taken;
+}
+
 auto JobRecord(const SubmittedJob& aJob, std::size_t aMaxRecord) -> KeyedRecord
 {
   wire::JobT record;
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -25,9 +25,10 @@
   wire::JobItemT mSubmitted;
   bool mRunning = false;
   bool mFinished = false;      // its result is listed or about to be
+  bool mCompleted = false;     // the result is its whole output
   std::uint32_t mFailures = 0; // runs that the endpoint answered as failed
   TimePoint mNotBefore{};      // earliest next run
-  // What an interrupted run has brought so far.
+  // What its runs have brought so far; empty once its result is listed.
   std::string mOutput;
   std::optional<std::uint64_t> mLastEvent;
   std::uint32_t mEvents = 0;
@@ -125,6 +126,22 @@
                     const ServingDocument& aDocument,
                     WallTime aWallNow) -> std::vector<RunnableItem>;
 
+// What a former owner hands to the next: the events that its runs have brought,
+// and results that the store does not have. Stops after about aMaxBytes.
+auto ProgressOf(const JobTable& aTable, std::size_t aMaxBytes)
+  -> wire::ProgressPageT;
+
+struct TakenProgress
+{
+  std::size_t mItems = 0;
+  std::uint64_t mEvents = 0;
+  std::vector<RunnableItem> mCompleted; // to be recorded as results
+};
+
+// Takes in what a former owner had, for items that are open here and have less.
+auto ApplyProgress(JobTable& aTable, const wire::ProgressPageT& aPage)
+  -> TakenProgress;
+
 // Records of the store.
 
 // The records of a job: its bodies, then the job itself, which makes it valid.
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -211,6 +211,55 @@
   CHECK(AbandonedItems(table, document, kSubmitted).size() == 1);
 }
 
+TEST_CASE(
+  "a new owner takes over what the former one has, and no less than that")
+{
+  // Each hand-over of a partition threw the events of all running items away
+  // (kpc-chime scale-2: 48 items of four seconds each at second 32.6).
+  JobTable former;
+  JobTable next;
+  for (auto* table : { &former, &next }) {
+    const auto job = Submission("j", 6);
+    job->mDurable = true;
+    table->mJobs[{ "team", "j" }] = job;
+  }
+  auto& had = former.mJobs.begin()->second->mItems;
+  for (auto& item : had) {
+    item.mOutput = "a\nb\nc";
+    item.mLastEvent = 3;
+    item.mEvents = 3;
+  }
+  had[1].mFinished = true; // all events are there, the record is not
+  had[1].mCompleted = true;
+  had[2].mLastEvent = std::nullopt; // can't be gone on with
+  had[2].mFailures = 2;
+  auto& has = next.mJobs.begin()->second->mItems;
+  has[3].mFinished = true;
+  has[4].mOutput = "a\nb\nc\nd";
+  has[4].mLastEvent = 4;
+  has[4].mEvents = 4;
+  has[5].mRunning = true;
+  const auto taken = ApplyProgress(next, ProgressOf(former, 1000));
+  CHECK(taken.mItems == 2);
+  CHECK(taken.mEvents == 6);
+  REQUIRE(taken.mCompleted.size() == 1);
+  CHECK(taken.mCompleted[0].mIndex == 1);
+  CHECK(has[0].mOutput == "a\nb\nc");
+  CHECK(has[0].mLastEvent == 3);
+  CHECK(has[2].mOutput.empty());
+  CHECK(has[2].mFailures == 2);
+  CHECK(has[3].mOutput.empty());
+  CHECK(has[4].mLastEvent == 4);
+  CHECK(has[5].mOutput.empty());
+  // Bounded, and nothing of a job that has ended or is not known.
+  CHECK(ProgressOf(former, 0).items.size() == 1);
+  former.mJobs.begin()->second->mEnded = true;
+  CHECK(ProgressOf(former, 1000).items.empty());
+  JobTable empty;
+  former.mJobs.begin()->second->mEnded = false;
+  CHECK(ApplyProgress(empty, ProgressOf(former, 1000)).mItems == 0);
+}
+
 TEST_CASE("pages hold at least one result and go on where they ended")
 {
   const auto job = Submission("j", 3);
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -46,8 +46,9 @@
 // Kept from the end of the grace period, for the last writes and the exit.
 constexpr auto kExitMargin = milliseconds(700);
 
-// Part of the grace period for running batch items to end.
-constexpr auto kItemsToEnd = milliseconds(3500);
+// Part of the grace period until results that were recorded are durable; a
+// write takes some 10 ms, several times that when the store is slow.
+constexpr auto kFlushTime = milliseconds(800);
 
 constexpr auto kDrainPoll = milliseconds(50);
 
@@ -519,7 +520,7 @@
            "draining",
            { { "active", absl::StrCat(mCallers.Active()) } });
   mCallers.CloseAfterAnswers();
-  co_await mJobs.Drain(started + kItemsToEnd);
+  co_await mJobs.Drain(started + kFlushTime);
   co_await SleepUntil(started + kOutOfRotation);
   mCallers.StopAccepting();
   mCallers.CloseIdle();
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -75,6 +75,12 @@
     AddToSums(aFleet, peer.mLast, -1);
   }
   AddToSums(aFleet, aReport, 1);
+  for (const auto& claim : aReport.partitions) {
+    auto& last = aFleet.mLastOwners[claim.partition()];
+    if (claim.generation() >= last.mGeneration) {
+      last = OwnerClaim{ aReport.host, claim.generation() };
+    }
+  }
   peer.mDomain = aReport.domain;
   peer.mLast = std::move(aReport);
   peer.mHeardAt = aNow;
@@ -113,6 +119,19 @@
     }));
 }
 
+auto LastOwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
+  -> std::optional<OwnerClaim>
+{
+  const auto last = aFleet.mLastOwners.find(aPartition);
+  if (last == aFleet.mLastOwners.end()) {
+    return std::nullopt;
+  }
+  const auto peer = aFleet.mPeers.find(last->second.mHost);
+  return peer == aFleet.mPeers.end() || peer->second.mSilent
+           ? std::nullopt
+           : std::optional(last->second);
+}
+
 auto OwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
   -> std::optional<OwnerClaim>
 {
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -35,12 +35,21 @@
   bool mSilent = true; // left out of the sums
 };
 
+// The owner of a partition, as a report names it.
+struct OwnerClaim
+{
+  std::string mHost;
+  std::uint64_t mGeneration = 0;
+};
+
 struct FleetLoad
 {
   std::map<std::string, PeerState> mPeers; // by address for daemons
   // Sums over the peers that are not silent, by hash; no zero entries.
   absl::flat_hash_map<std::uint64_t, InFlight> mInFlight;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mWaiting;
+  // The newest claim heard for each partition, also after its end.
+  std::map<std::uint32_t, OwnerClaim> mLastOwners;
 };
 
 // Adds a host that is registered but has not been heard yet. It counts as if it
@@ -65,12 +74,11 @@
 // Peers that are not silent.
 auto HeardPeers(const FleetLoad& aFleet) -> std::size_t;
 
+// The peer that owned the partition last, if it is heard.
+auto LastOwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
+  -> std::optional<OwnerClaim>;
+
 // The peer that owns the partition with the highest generation, not silent.
-struct OwnerClaim
-{
-  std::string mHost;
-  std::uint64_t mGeneration = 0;
-};
 auto OwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
   -> std::optional<OwnerClaim>;
 
