--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -208,9 +208,10 @@
 {
   for (;;) {
     // Named, since g++ 12 destroys a braced argument of an awaited call twice.
-    SlotRequest request{ mExchange.mCaller,  mExchange.mFacts.mId,
-                         mExchange.mService, mExchange.mPriority,
-                         mExchange.mTried,   GiveUpAt(Clock::now()) };
+    SlotRequest request{ mExchange.mCaller,     mExchange.mFacts.mId,
+                         mExchange.mService,    mExchange.mPriority,
+                         mExchange.mTried,      mExchange.mRoute->mObjective,
+                         GiveUpAt(Clock::now()) };
     auto slot = co_await TakeSlot(mState, std::move(request));
     if (mExchange.mCaller->Gone()) {
       Log("caller_gone");
--- a/mangovalve/online/slot_line.cc
+++ b/mangovalve/online/slot_line.cc
@@ -96,16 +96,17 @@
 
 auto OutlookOf(const ServingState& aState,
                const ServicePool& aPool,
-               const std::string& aService) -> Outlook
+               const SlotRequest& aRequest) -> Outlook
 {
   Outlook outlook;
   for (const auto& candidate : Candidates(aState, aPool, Clock::now())) {
     outlook.mSlots += candidate.mUsable ? candidate.mSlots : 0;
   }
-  outlook.mAhead =
-    aPool.mLine.size() + PeerWaiting(aState.mFleet, StableHash(aService));
-  outlook.mWait =
-    ExpectedWait(outlook.mAhead, outlook.mSlots, aPool.mMeanSeconds);
+  outlook.mAhead = aPool.mLine.size() +
+                   PeerWaiting(aState.mFleet, StableHash(aRequest.mService));
+  const std::chrono::duration<double> usual = aRequest.mUsualRun;
+  const auto run = aPool.mMeanSeconds > 0 ? aPool.mMeanSeconds : usual.count();
+  outlook.mWait = ExpectedWait(outlook.mAhead, outlook.mSlots, run);
   return outlook;
 }
 
@@ -155,7 +156,7 @@
       co_return Slot{ std::move(endpoint), {} };
     }
   }
-  const auto outlook = OutlookOf(aState, pool, aRequest.mService);
+  const auto outlook = OutlookOf(aState, pool, aRequest);
   Slot slot;
   slot.mRetryAfter = std::chrono::duration_cast<milliseconds>(
     std::max<Duration>(outlook.mWait, kMinRetryAfter));
--- a/mangovalve/online/slot_line.h
+++ b/mangovalve/online/slot_line.h
@@ -22,6 +22,8 @@
   std::string mService;
   int mPriority = 0;
   std::span<const std::string> mTried; // endpoints that it does not want
+  // How long a request holds a slot, while nothing has been measured.
+  Duration mUsualRun;
   TimePoint mGiveUpAt;
 };
 
--- a/mangovalve/online/slot_line_test.cc
+++ b/mangovalve/online/slot_line_test.cc
@@ -38,7 +38,8 @@
     pool.mMeanSeconds = aMeanSeconds;
   }
 
-  auto Ask(milliseconds aPatience) -> Slot
+  auto Ask(milliseconds aPatience, milliseconds aUsualRun = milliseconds(1))
+    -> Slot
   {
     Slot slot;
     SlotRequest request;
@@ -46,6 +47,7 @@
     request.mCaller->mArrivedAt = Clock::now();
     request.mService = "llm";
     request.mGiveUpAt = Clock::now() + aPatience;
+    request.mUsualRun = aUsualRun;
     Spawn(mLoop, [](FullPool& aPool, SlotRequest aAsk, Slot& aSlot) -> Task<> {
       aSlot = co_await TakeSlot(aPool.mState, std::move(aAsk));
     }(*this, std::move(request), slot));
@@ -63,6 +65,17 @@
   CHECK(pool.mState.mPools["llm"].mLine.empty());
 }
 
+TEST_CASE("a daemon that has just started holds no more than it can serve")
+{
+  // Without a measured run the expected wait was zero, so after a kill of all
+  // daemons each held the whole retry wave for 210 ms before it refused
+  // (kpc-chime trouble-1, second 45).
+  FullPool pool(0);
+  const auto slot = pool.Ask(milliseconds(200), std::chrono::seconds(1));
+  CHECK_FALSE(slot.mEndpoint);
+  CHECK(slot.mRetryAfter >= milliseconds(400));
+}
+
 TEST_CASE("a service without endpoints refuses at once and says when to return")
 {
   FullPool pool(0.1);
