Give up a silent endpoint only when another one has a slot

The time of silence is now only the first look; from then on the relay asks every 100 ms whether another endpoint has a slot.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "mangovalve/base/decayed_mean.h"
+#include "mangovalve/loop/silence_watch.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/online/slot_line.h"
 #include "mangovalve/telemetry/counters.h"
@@ -113,6 +114,11 @@
                      const ResponseParser& aParser) -> Task<Step>;
   auto SendToCaller(std::string aBytes, const ResponseParser& aParser)
     -> Task<bool>;
+  // Closes the connection of a request that may go elsewhere, once its endpoint
+  // has been silent for long and another one has a slot. While all slots are
+  // taken the request is most likely in the endpoint's queue.
+  auto WatchSilence(const Endpoint& aEndpoint, ClientConnection& aConnection)
+    -> std::unique_ptr<SilenceWatch>;
   auto MayTryAgain() const -> bool;
   auto MayTryElsewhereAfterRun() const -> bool;
   // Until when an endpoint may bring nothing. There is none before the
@@ -348,6 +354,25 @@
   co_return Step::Done;
 }
 
+auto Runner::WatchSilence(const Endpoint& aEndpoint,
+                          ClientConnection& aConnection)
+  -> std::unique_ptr<SilenceWatch>
+{
+  if (!MayTryElsewhereAfterRun()) {
+    return nullptr;
+  }
+  auto tried = mExchange.mTried;
+  tried.push_back(aEndpoint.mRegistration.mId);
+  return std::make_unique<SilenceWatch>(
+    mState.mLoop,
+    FirstByteDeadline(),
+    mPolicy.mSilenceCheck,
+    [this, tried = std::move(tried)] {
+      return HasSlot(mState, mExchange.mService, tried);
+    },
+    [&aConnection] { aConnection.mStream.close(); });
+}
+
 auto Runner::ReadAnswerHead(Endpoint& aEndpoint,
                             ClientConnection& aConnection,
                             std::unique_ptr<ResponseParser>& aParser)
@@ -355,8 +380,9 @@
 {
   for (int strays = 0; strays <= kMaxStrayAnswers; ++strays) {
     aParser = std::make_unique<ResponseParser>();
+    const auto watch = WatchSilence(aEndpoint, aConnection);
     const auto error =
-      co_await ReadHead(aConnection, *aParser, FirstByteDeadline());
+      co_await ReadHead(aConnection, *aParser, mExchange.mDeadline);
     if (mExchange.mCaller->Gone()) {
       co_return Step::Done;
     }
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -33,9 +33,11 @@
   // at once, so that the caller can come back while it still helps.
   double mWaitShare = 0.7;
   // An endpoint that has not begun to answer after this many objectives is
-  // given up, if the request may be repeated.
+  // given up, if the request may be repeated and another endpoint has a slot.
   double mSilenceObjectives = 2;
   Duration mMinSilence = std::chrono::milliseconds(600);
+  // Pause between looks for another endpoint after that.
+  Duration mSilenceCheck = std::chrono::milliseconds(100);
   // A stream that has paused for this many gap objectives is resumed
   // elsewhere, if it may be.
   double mGapObjectives = 2;
--- a/mangovalve/online/slot_line.cc
+++ b/mangovalve/online/slot_line.cc
@@ -143,6 +143,15 @@
     std::chrono::duration<double>(seconds));
 }
 
+auto HasSlot(ServingState& aState,
+             const std::string& aService,
+             std::span<const std::string> aTried) -> bool
+{
+  const auto found = aState.mPools.find(aService);
+  return found != aState.mPools.end() && found->second.mLine.empty() &&
+         TryPlace(aState, found->second, aTried) != nullptr;
+}
+
 auto TakeSlot(ServingState& aState, SlotRequest aRequest) -> Task<Slot>
 {
   const auto found = aState.mPools.find(aRequest.mService);
