--- a/mangovalve/log_service/http_log_test.cc
+++ b/mangovalve/log_service/http_log_test.cc
@@ -137,8 +137,9 @@
     const auto connection = accept(fd, nullptr, nullptr);
     std::array<char, 4096> buffer{};
     (void)recv(connection, buffer.data(), buffer.size(), 0);
-    close(connection);
+    // The listener first: the second append follows the end of the connection.
     close(fd);
+    close(connection);
   });
   const auto port = HttpLogPort(address);
   const auto cut = port.mAppend("x", Soon());
