Keep a host's work linear in the fleet's endpoints

Each synchronization of the pools (seven a second) looked every endpoint up by a linear search and copied its registration; every renewal of an endpoint was parsed (2,500 a second); each placement examined all endpoints of the fleet; a load of a table that lost one page began anew; a host that needed state copied it from every peer in turn, also after it had it. Change: the directory has a revision and pools an index by id; a registration that differs in its sequence number only is not parsed; placement looks at the own domain first; a table load continues with the page that failed; copying state ends with the first peer that has it.

--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -44,7 +44,8 @@
                        platform::MakeProtocol(),
                        { platform::kConfigurationKey,
                          platform::ReadDocument,
-                         platform::ReadRegistration },
+                         platform::ReadRegistration,
+                         platform::SameRegistration },
                        [&aSettings](ConnectionPool& aPool) {
                          return platform::MakeTables(aPool, aSettings.mStore);
                        });
--- a/mangovalve/base/random.h
+++ b/mangovalve/base/random.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <utility>
 
 namespace mangovalve {
 
@@ -36,4 +37,13 @@
   return static_cast<double>(Next(aRandom) >> 11) * 0x1.0p-53;
 }
 
+// Puts the elements of a container into a random order.
+template<typename Container>
+auto Shuffle(Container& aElements, Random& aRandom) -> void
+{
+  for (auto left = aElements.size(); left > 1; --left) {
+    std::swap(aElements[left - 1], aElements[UniformBelow(aRandom, left)]);
+  }
+}
+
 } // namespace mangovalve
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -153,11 +153,13 @@
   }
   StopSuperseded();
   for (auto& [service, pool] : mState.mPools) {
-    const auto candidates = Candidates(mState, pool, aNow);
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-      const auto& endpoint = pool.mEndpoints[i];
+    for (const auto& endpoint : pool.mEndpoints) {
+      const auto own = endpoint->mOwnInFlight.mBatch;
+      if (own == 0) {
+        continue;
+      }
       const auto count = BatchItemsToPreempt(
-        candidates[i], endpoint->mOwnInFlight.mBatch, mState.mRandom);
+        CandidateOf(mState, *endpoint, aNow), own, mState.mRandom);
       if (count == 0) {
         continue;
       }
@@ -221,8 +223,8 @@
     });
   // All owners see the same free slots at the same time, so each one takes an
   // equal share of them.
-  const auto spare =
-    SpareSlotsForBatch(Candidates(mState, aPool, aNow), mState.mPlacement);
+  auto candidates = Candidates(mState, aPool, aNow);
+  const auto spare = SpareSlotsForBatch(candidates, mState.mPlacement);
   const auto share = spare / static_cast<double>(mPorts.mOwners());
   auto starts = static_cast<std::size_t>(share + Uniform(mState.mRandom));
   starts = std::min({ starts, items.size(), kMaxStarts });
@@ -230,13 +232,12 @@
   for (std::size_t i = 0; i < starts; ++i) {
     const auto urgency =
       items[i].first.mLate ? BatchUrgency::Late : BatchUrgency::OnTime;
-    const auto place = PlaceBatch(Candidates(mState, aPool, aNow),
-                                  urgency,
-                                  mState.mPlacement,
-                                  mState.mRandom);
+    const auto place =
+      PlaceBatch(candidates, urgency, mState.mPlacement, mState.mRandom);
     if (!place) {
       return;
     }
+    candidates[*place].mBatch += 1;
     auto run = std::make_shared<RunningItem>();
     run->mPartition = items[i].second;
     run->mItem = items[i].first;
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -50,25 +50,6 @@
   QueuedRequest mWaiter;
 };
 
-// Chooses an endpoint with a slot for an online request, outside aTried; null
-// if there is none.
-auto TryPlace(ServingState& aState,
-              const ServicePool& aPool,
-              std::span<const std::string> aTried) -> EndpointPtr
-{
-  const auto candidates = Candidates(aState, aPool, Clock::now());
-  std::vector<std::size_t> excluded;
-  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
-    const auto& id = aPool.mEndpoints[i]->mRegistration.mId;
-    if (std::find(aTried.begin(), aTried.end(), id) != aTried.end()) {
-      excluded.push_back(i);
-    }
-  }
-  const auto place =
-    PlaceOnline(candidates, excluded, aState.mPlacement, aState.mRandom);
-  return place ? aPool.mEndpoints[*place] : nullptr;
-}
-
 auto WaitInQueue(ServingState& aState,
                  ServicePool& aPool,
                  const SlotRequest& aRequest) -> Task<EndpointPtr>
@@ -83,7 +64,8 @@
          !caller.Disconnected()) {
     co_await wakeup.WaitUntil(aRequest.mWaitDeadline);
     if (place.IsFirst()) {
-      endpoint = TryPlace(aState, aPool, aRequest.mTried);
+      endpoint =
+        PlaceRequest(aState, aPool, aRequest.mTried, Clock::now());
     }
   }
   caller.mOnDisconnect = nullptr;
@@ -154,7 +136,7 @@
 {
   const auto found = aState.mPools.find(aService);
   return found != aState.mPools.end() && found->second.mQueue.empty() &&
-         TryPlace(aState, found->second, aTried) != nullptr;
+         PlaceRequest(aState, found->second, aTried, Clock::now()) != nullptr;
 }
 
 auto AcquireSlot(ServingState& aState, SlotRequest aRequest) -> Task<Slot>
@@ -166,7 +148,8 @@
   }
   auto& pool = found->second;
   if (pool.mQueue.empty()) {
-    if (auto endpoint = TryPlace(aState, pool, aRequest.mTried)) {
+    if (auto endpoint =
+          PlaceRequest(aState, pool, aRequest.mTried, Clock::now())) {
       co_return Slot{ std::move(endpoint), {} };
     }
   }
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 namespace mangovalve {
 namespace {
@@ -33,8 +32,6 @@
          aExcluded.end();
 }
 
-using RoomFunction = std::function<auto(const PlacementCandidate&)->double>;
-
 // Input of a choice.
 struct CandidateSet
 {
@@ -45,6 +42,7 @@
 
 // A random candidate in the own or in other domains, weighted by the slots that
 // aRoom returns; nullopt if none has more than aMargin.
+template<typename RoomFunction>
 auto ChooseWeightedByRoom(const CandidateSet& aChoice,
                           bool aOwnDomain,
                           const RoomFunction& aRoom,
@@ -81,6 +79,7 @@
 }
 
 // Prefers the own domain; other domains must exceed a margin.
+template<typename RoomFunction>
 auto ChooseOwnDomainFirst(const CandidateSet& aChoice,
                           const RoomFunction& aRoom,
                           Random& aRandom) -> std::optional<std::size_t>
@@ -112,6 +111,14 @@
   return ChooseWeightedByRoom(choice, false, ReclaimableSlots, 0, aRandom);
 }
 
+auto PlaceOnFreeSlot(std::span<const PlacementCandidate> aCandidates,
+                     const PlacementPolicy& aPolicy,
+                     Random& aRandom) -> std::optional<std::size_t>
+{
+  return ChooseWeightedByRoom(
+    { aCandidates, {}, aPolicy }, true, FreeSlots, 0, aRandom);
+}
+
 auto PlaceBatch(std::span<const PlacementCandidate> aCandidates,
                 BatchUrgency aUrgency,
                 const PlacementPolicy& aPolicy,
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -53,6 +53,12 @@
                  const PlacementPolicy& aPolicy,
                  Random& aRandom) -> std::optional<std::size_t>;
 
+// The same among the endpoints of the own domain with a free slot, which
+// PlaceOnline prefers to all others; nullopt if there is none.
+auto PlaceOnFreeSlot(std::span<const PlacementCandidate> aCandidates,
+                     const PlacementPolicy& aPolicy,
+                     Random& aRandom) -> std::optional<std::size_t>;
+
 enum class BatchUrgency
 {
   OnTime,
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -264,6 +264,12 @@
 
 auto ServingDaemon::ApplyEndpointRecord(const KeyedRecord& aRecord) -> void
 {
+  const auto known = mEndpointBytes.find(aRecord.mKey);
+  if (known != mEndpointBytes.end() &&
+      mReaders.mSameRegistration(known->second, aRecord.mValue)) {
+    Renew(mState.mDirectory, aRecord.mKey);
+    return;
+  }
   auto registration = mReaders.mReadRegistration(aRecord.mKey, aRecord.mValue);
   if (registration) {
     mEndpointBytes[aRecord.mKey] = aRecord.mValue;
@@ -426,7 +432,11 @@
     for (const auto& [host, peer] : mState.mFleet.mPeers) {
       peers.push_back(host);
     }
+    Shuffle(peers, mState.mRandom);
     for (const auto& peer : peers) {
+      if (mState.mDocument && mEndpointsLoaded) {
+        break;
+      }
       if (peer != mSettings.mOperators && peer != mState.mHost) {
         co_await CopyStateFrom(peer, true);
       }
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -26,6 +26,10 @@
   std::function<auto(const std::string& aId, const std::string& aBytes)
                   ->std::optional<Registration>>
     mReadRegistration;
+  // Whether two records of one endpoint contain the same registration. Endpoints
+  // renew unchanged registrations about once a second, so this must be cheap.
+  std::function<auto(const std::string& aOld, const std::string& aNew)->bool>
+    mSameRegistration;
 };
 
 class ServingDaemon
--- a/mangovalve/serving/endpoint_directory.cc
+++ b/mangovalve/serving/endpoint_directory.cc
@@ -21,9 +21,20 @@
 
 auto Register(EndpointDirectory& aDirectory, Registration aRegistration) -> void
 {
-  auto id = aRegistration.mId;
-  aDirectory.mEntries.insert_or_assign(
-    std::move(id), DirectoryEntry{ std::move(aRegistration), std::nullopt });
+  auto& entry = aDirectory.mEntries[aRegistration.mId];
+  entry.mRemoveAt.reset();
+  if (entry.mRegistration != aRegistration) {
+    entry.mRegistration = std::move(aRegistration);
+    ++aDirectory.mRevision;
+  }
+}
+
+auto Renew(EndpointDirectory& aDirectory, const std::string& aId) -> void
+{
+  const auto found = aDirectory.mEntries.find(aId);
+  if (found != aDirectory.mEntries.end()) {
+    found->second.mRemoveAt.reset();
+  }
 }
 
 auto Unregister(EndpointDirectory& aDirectory,
@@ -86,6 +97,7 @@
     if (it->second.mRemoveAt && aDirectory.mStoreReachable &&
         *it->second.mRemoveAt <= aNow) {
       removed.push_back(it->first);
+      ++aDirectory.mRevision;
       it = aDirectory.mEntries.erase(it);
     } else {
       ++it;
--- a/mangovalve/serving/endpoint_directory.h
+++ b/mangovalve/serving/endpoint_directory.h
@@ -26,6 +26,8 @@
   std::uint32_t mSlots = 1;    // maximum number of concurrent requests
   bool mLeaving = false;       // finishes its requests, then exits
   std::int64_t mStartedMs = 0; // start of this incarnation, Unix time
+
+  auto operator==(const Registration&) const -> bool = default;
 };
 
 struct DirectoryEntry
@@ -40,11 +42,16 @@
   std::map<std::string, DirectoryEntry> mEntries; // by id
   bool mStoreReachable = true;
   TimePoint mStoreRecoveredAt{}; // end of the last outage of the store
+  // Increases whenever a registration is added, changed or removed.
+  std::uint64_t mRevision = 0;
 };
 
 auto Register(EndpointDirectory& aDirectory, Registration aRegistration)
   -> void;
 
+// Renews an unchanged registration, which cancels its pending removal.
+auto Renew(EndpointDirectory& aDirectory, const std::string& aId) -> void;
+
 // Schedules the removal of the id: at once, or after a grace period when the
 // registration may have expired because of an outage of the store.
 auto Unregister(EndpointDirectory& aDirectory,
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -49,14 +49,9 @@
                    aEndpoint.mOwnInFlight.mBatch + peers.mBatch };
 }
 
-auto FindEndpoint(ServicePool& aPool, const std::string& aId) -> EndpointPtr
+auto IsIn(std::span<const std::string> aIds, const std::string& aId) -> bool
 {
-  for (const auto& endpoint : aPool.mEndpoints) {
-    if (endpoint->mRegistration.mId == aId) {
-      return endpoint;
-    }
-  }
-  return nullptr;
+  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
 }
 
 // Adds or updates the endpoint of a registration.
@@ -65,7 +60,7 @@
                   TimePoint aNow) -> void
 {
   auto& pool = aState.mPools[aRegistration.mService];
-  auto endpoint = FindEndpoint(pool, aRegistration.mId);
+  auto& endpoint = pool.mById[aRegistration.mId];
   // Health and load of an earlier incarnation with the same id do not apply to
   // this one.
   if (endpoint &&
@@ -90,19 +85,22 @@
              { { "endpoint", aRegistration.mId } });
   }
   endpoint->mRegistration = aRegistration;
+  endpoint->mOwnDomain = aRegistration.mDomain == aState.mDomain;
 }
 
 auto RemoveMissingEndpoints(ServingState& aState) -> void
 {
-  for (auto& entry : aState.mPools) {
-    const auto& service = entry.first;
-    std::erase_if(entry.second.mEndpoints, [&](const EndpointPtr& aEndpoint) {
+  for (auto& [name, pool] : aState.mPools) {
+    const auto& service = name;
+    auto& byId = pool.mById;
+    std::erase_if(pool.mEndpoints, [&](const EndpointPtr& aEndpoint) {
       const auto& id = aEndpoint->mRegistration.mId;
       const auto found = aState.mDirectory.mEntries.find(id);
       const auto missing = found == aState.mDirectory.mEntries.end() ||
                            found->second.mRegistration.mService != service;
       if (missing) {
         aEndpoint->mRemoved = true;
+        byId.erase(id);
         aState.mPool.CloseIdleConnections(aEndpoint->mRegistration.mAddress);
         LogEvent(Severity::Info, "endpoint_removed", { { "endpoint", id } });
       }
@@ -151,9 +149,12 @@
 auto SyncPools(ServingState& aState, TimePoint aNow) -> void
 {
   static_cast<void>(ApplyRemovals(aState.mDirectory, aNow));
-  RemoveMissingEndpoints(aState);
-  for (const auto& [id, entry] : aState.mDirectory.mEntries) {
-    SyncEndpoint(aState, entry.mRegistration, aNow);
+  if (aState.mSyncedRevision != aState.mDirectory.mRevision) {
+    RemoveMissingEndpoints(aState);
+    for (const auto& [id, entry] : aState.mDirectory.mEntries) {
+      SyncEndpoint(aState, entry.mRegistration, aNow);
+    }
+    aState.mSyncedRevision = aState.mDirectory.mRevision;
   }
   for (auto& [service, pool] : aState.mPools) {
     std::vector<Health*> healths;
@@ -172,19 +173,8 @@
   candidates.reserve(aPool.mEndpoints.size());
   auto usable = false;
   for (const auto& endpoint : aPool.mEndpoints) {
-    const auto total = TotalInFlight(aState, *endpoint);
-    PlacementCandidate candidate;
-    candidate.mOwnDomain = endpoint->mRegistration.mDomain == aState.mDomain;
-    candidate.mUsable =
-      !endpoint->mRegistration.mLeaving && Usable(endpoint->mHealth, aNow);
-    candidate.mSlots = endpoint->mRegistration.mSlots;
-    candidate.mOnline = total.mOnline;
-    candidate.mBatch = total.mBatch;
-    candidate.mUnseen = UnaccountedLoad(*endpoint, aNow);
-    candidate.mSlowStart =
-      SlowStartShare(endpoint->mHealth, aState.mHealth, aNow);
-    usable = usable || candidate.mUsable;
-    candidates.push_back(candidate);
+    candidates.push_back(CandidateOf(aState, *endpoint, aNow));
+    usable = usable || candidates.back().mUsable;
   }
   // If no endpoint is healthy, try them all the same instead of refusing every
   // request.
@@ -194,6 +184,53 @@
   return candidates;
 }
 
+auto CandidateOf(const ServingState& aState,
+                 const Endpoint& aEndpoint,
+                 TimePoint aNow) -> PlacementCandidate
+{
+  const auto total = TotalInFlight(aState, aEndpoint);
+  PlacementCandidate candidate;
+  candidate.mOwnDomain = aEndpoint.mOwnDomain;
+  candidate.mUsable =
+    !aEndpoint.mRegistration.mLeaving && Usable(aEndpoint.mHealth, aNow);
+  candidate.mSlots = aEndpoint.mRegistration.mSlots;
+  candidate.mOnline = total.mOnline;
+  candidate.mBatch = total.mBatch;
+  candidate.mUnseen = UnaccountedLoad(aEndpoint, aNow);
+  candidate.mSlowStart =
+    SlowStartShare(aEndpoint.mHealth, aState.mHealth, aNow);
+  return candidate;
+}
+
+auto PlaceRequest(ServingState& aState,
+                  const ServicePool& aPool,
+                  std::span<const std::string> aTried,
+                  TimePoint aNow) -> EndpointPtr
+{
+  std::vector<PlacementCandidate> near;
+  std::vector<EndpointPtr> nearEndpoints;
+  for (const auto& endpoint : aPool.mEndpoints) {
+    if (endpoint->mOwnDomain && !IsIn(aTried, endpoint->mRegistration.mId)) {
+      near.push_back(CandidateOf(aState, *endpoint, aNow));
+      nearEndpoints.push_back(endpoint);
+    }
+  }
+  if (const auto place =
+        PlaceOnFreeSlot(near, aState.mPlacement, aState.mRandom)) {
+    return nearEndpoints[*place];
+  }
+  const auto candidates = Candidates(aState, aPool, aNow);
+  std::vector<std::size_t> excluded;
+  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
+    if (IsIn(aTried, aPool.mEndpoints[i]->mRegistration.mId)) {
+      excluded.push_back(i);
+    }
+  }
+  const auto place =
+    PlaceOnline(candidates, excluded, aState.mPlacement, aState.mRandom);
+  return place ? aPool.mEndpoints[*place] : nullptr;
+}
+
 ScopedInFlight::ScopedInFlight(ServingState& aState,
                                EndpointPtr aEndpoint,
                                Workload aWork)
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
 {
   Registration mRegistration;
   std::uint64_t mHash = 0; // of the id, as in load reports
+  bool mOwnDomain = false; // in the failure domain of this daemon
   Health mHealth;
   InFlight mOwnInFlight;
   // Requests that the endpoint reported beyond those that the daemons' reports
@@ -58,6 +60,7 @@
 struct ServicePool
 {
   std::vector<EndpointPtr> mEndpoints;
+  absl::flat_hash_map<std::string, EndpointPtr> mById; // the same endpoints
   std::set<QueuedRequest> mQueue;
   // Mean duration of online requests at an endpoint; 0: unknown.
   double mMeanSeconds = 0;
@@ -77,6 +80,7 @@
   // Null until the first document is active.
   std::shared_ptr<const ServingDocument> mDocument;
   EndpointDirectory mDirectory;
+  std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
   std::map<std::string, FleetRate> mRates;   // by team
@@ -100,7 +104,8 @@
 auto ActivateDocument(ServingState& aState,
                       std::shared_ptr<const ServingDocument> aDocument) -> bool;
 
-// Updates the pools from the endpoint directory.
+// Updates the pools from the endpoint directory, and ejections. Costs little
+// while the directory is unchanged.
 auto SyncPools(ServingState& aState, TimePoint aNow) -> void;
 
 // Placement candidates for the pool's endpoints, in the same order.
@@ -108,6 +113,20 @@
                 const ServicePool& aPool,
                 TimePoint aNow) -> std::vector<PlacementCandidate>;
 
+// The same for one endpoint, without the fallback for a service whose endpoints
+// are all unhealthy.
+auto CandidateOf(const ServingState& aState,
+                 const Endpoint& aEndpoint,
+                 TimePoint aNow) -> PlacementCandidate;
+
+// Endpoint for an online request, outside the ids in aTried; null if online
+// requests hold all slots. Other domains are examined only if no endpoint of
+// the own domain has a free slot.
+auto PlaceRequest(ServingState& aState,
+                  const ServicePool& aPool,
+                  std::span<const std::string> aTried,
+                  TimePoint aNow) -> EndpointPtr;
+
 // Counts one request as in flight at an endpoint during its lifetime.
 class ScopedInFlight
 {
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -2,6 +2,7 @@
 #include "mangovalve/serving/table_follower.h"
 
 #include <optional>
+#include <utility>
 
 #include "mangovalve/telemetry/event_log.h"
 
@@ -27,31 +28,13 @@
   return "unknown";
 }
 
-// Loads all keys of the table. Returns the offset from which changes may be
-// missing, or nothing if a read failed.
-auto LoadAll(const TablePorts& aPorts,
-             Table aTable,
-             Duration aResponseTimeout,
-             std::vector<KeyedRecord>& aRecords) -> Task<std::optional<Offset>>
+// The pages of a table that have been loaded so far.
+struct PartialTable
 {
-  std::optional<Offset> from;
-  std::string after;
-  for (auto more = true; more;) {
-    const auto deadline = Clock::now() + aResponseTimeout;
-    const auto page = co_await aPorts.mNewest(aTable, 0, after, deadline);
-    if (!page) {
-      co_return std::nullopt;
-    }
-    // The pages are not a consistent snapshot, so all changes since the first
-    // page are applied again.
-    from = from ? from : page->mEnd;
-    aRecords.insert(
-      aRecords.end(), page->mRecords.begin(), page->mRecords.end());
-    more = page->mMore && !page->mRecords.empty();
-    after = page->mRecords.empty() ? after : page->mRecords.back().mKey;
-  }
-  co_return from;
-}
+  std::vector<KeyedRecord> mRecords;
+  std::string mAfterKey;       // last key loaded
+  std::optional<Offset> mFrom; // changes may be missing from here on
+};
 
 struct Follower
 {
@@ -61,6 +44,7 @@
   FollowSinks mSinks;
   std::optional<Offset> mFrom; // empty: the table must be loaded
   bool mAnswered = true;       // result of the last read, for the log
+  PartialTable mLoading;
 
   auto ReportContact(bool aAnswered) -> void
   {
@@ -73,14 +57,31 @@
     mSinks.mContact(aAnswered);
   }
 
+  // Loads the remaining pages of the table. After a failure, the next call
+  // continues with the page that failed: a store that serves many hosts at once
+  // would otherwise never complete a table of several pages.
   auto Load() -> Task<bool>
   {
-    std::vector<KeyedRecord> records;
-    mFrom = co_await LoadAll(mPorts, mTable, mPolicy.mResponseTimeout, records);
-    if (mFrom) {
-      mSinks.mReplace(records);
+    for (auto more = true; more;) {
+      const auto deadline = Clock::now() + mPolicy.mResponseTimeout;
+      const auto page =
+        co_await mPorts.mNewest(mTable, 0, mLoading.mAfterKey, deadline);
+      if (!page) {
+        co_return false;
+      }
+      // The pages are not a consistent snapshot, so all changes since the first
+      // page are applied again.
+      mLoading.mFrom = mLoading.mFrom ? mLoading.mFrom : page->mEnd;
+      auto& records = mLoading.mRecords;
+      records.insert(
+        records.end(), page->mRecords.begin(), page->mRecords.end());
+      more = page->mMore && !page->mRecords.empty();
+      mLoading.mAfterKey = records.empty() ? "" : records.back().mKey;
     }
-    co_return mFrom.has_value();
+    mFrom = mLoading.mFrom;
+    const auto loaded = std::exchange(mLoading, {});
+    mSinks.mReplace(loaded.mRecords);
+    co_return true;
   }
 
   auto Read() -> Task<bool>
@@ -111,7 +112,7 @@
                  FollowPolicy aPolicy,
                  FollowSinks aSinks) -> Task<>
 {
-  Follower follower{ aPorts, aTable, aPolicy, std::move(aSinks), {}, true };
+  Follower follower{ aPorts, aTable, aPolicy, std::move(aSinks), {}, true, {} };
   for (;;) {
     const auto started = Clock::now();
     auto answered = false;
--- /dev/null
+++ b/mangovalve/serving/table_follower_test.cc
@@ -0,0 +1,74 @@
+// Tests of the copy of a store's table that a daemon keeps.
+#include "mangovalve/serving/table_follower.h"
+
+#include <map>
+
+#include <doctest/doctest.h>
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a table of many pages is loaded although pages are refused")
+{
+  // Guards against a fleet that starts at once and never completes its tables:
+  // the store refuses every third page, and each refusal started the load anew.
+  // The pattern of load is a table of thousands of endpoints, read by hundreds
+  // of hosts in the same instant.
+  constexpr int kPages = 8;
+  asio::io_context loop;
+  std::map<std::string, int> reads; // by the key after which a page starts
+  auto calls = 0;
+  TablePorts ports;
+  ports.mNewest =
+    [&](Table, std::uint32_t, std::string aAfterKey, TimePoint)
+    -> Task<TableResult<TablePage>> {
+    if (++calls % 3 == 0) {
+      co_return Err(TableError{ TableErrorKind::NotApplied, 0 });
+    }
+    ++reads[aAfterKey];
+    const auto page = aAfterKey.empty() ? 0 : aAfterKey.back() - 'a' + 1;
+    TablePage result;
+    result.mRecords = { { std::string(1, static_cast<char>('a' + page)),
+                          "value",
+                          0 } };
+    result.mMore = page + 1 < kPages;
+    result.mEnd = static_cast<Offset>(100 + page);
+    co_return result;
+  };
+  std::optional<Offset> changesFrom;
+  ports.mChanges =
+    [&](Table, std::uint32_t, Offset aFrom, TimePoint, TimePoint)
+    -> Task<TableResult<TableChanges>> {
+    changesFrom = aFrom;
+    loop.stop();
+    co_return TableChanges{ {}, aFrom };
+  };
+  std::size_t records = 0;
+  auto replaced = 0;
+  const FollowPolicy policy{ milliseconds(1), false, milliseconds(100) };
+  Spawn(loop,
+        FollowTable(ports,
+                    Table::Endpoints,
+                    policy,
+                    { [&](const auto& aRecords) {
+                       records = aRecords.size();
+                       ++replaced;
+                     },
+                      [](const auto&) {},
+                      [](bool) {} }));
+  loop.run_for(std::chrono::seconds(20));
+  CHECK(records == kPages);
+  CHECK(replaced == 1);
+  CHECK(reads.size() == kPages);
+  for (const auto& [after, count] : reads) {
+    CHECK_MESSAGE(count == 1, "page after ", after);
+  }
+  // Changes since the first page are applied again.
+  REQUIRE(changesFrom);
+  CHECK(*changesFrom == 100);
+}
+
+} // namespace
+} // namespace mangovalve
