--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -3,7 +3,8 @@
 //
 // The settings file is named by --settings, or by the environment variable
 // MANGOVALVE_CONFIG. Exit codes: 0 after a drain, 1 if it could not start, 2
-// for bad usage or bad settings. SIGTERM drains.
+// for bad usage or bad settings. SIGTERM drains. SIGHUP reads the settings file
+// again; a file with errors changes nothing.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -35,7 +36,7 @@
   return path == nullptr ? "" : path;
 }
 
-auto Serve(const ServingSettings& aSettings) -> int
+auto Serve(const std::string& aPath, const ServingSettings& aSettings) -> int
 {
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
   asio::io_context loop(1);
@@ -49,6 +50,7 @@
                        [&aSettings](ConnectionPool& aPool) {
                          return platform::MakeTables(aPool, aSettings.mStore);
                        });
+  daemon.mReadSettings = [&aPath] { return ReadServingSettings(aPath); };
   const auto started = daemon.Start();
   if (!started) {
     LogEvent(
@@ -79,7 +81,7 @@
     return EXIT_SUCCESS;
   }
   StartEventLog(settings->mLogLevel, LogTarget::StandardOutput);
-  return Serve(*settings);
+  return Serve(path, *settings);
 }
 
 } // namespace
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -17,6 +17,26 @@
 // Items that one daemon starts on a service in one interval, at most.
 constexpr std::size_t kMaxStarts = 8;
 
+// Largest output of an item; callers accept result pages of 1 MB.
+constexpr std::size_t kMaxOutputBytes = 900UL << 10U;
+
+// Latest end of a run on a route that sets no time after which its items are
+// abandoned.
+constexpr auto kMaxRunTime = std::chrono::minutes(10);
+
+// Deadline of a run that starts now.
+auto RunDeadline(const ServingDocument& aDocument,
+                 const SubmittedJob& aJob,
+                 const BatchItem& aItem,
+                 TimePoint aNow) -> TimePoint
+{
+  const auto* route = FindRoute(aDocument, aJob.mHost, aItem.mSubmitted.path);
+  if (route == nullptr || route->mAbandonAfter.count() == 0) {
+    return aNow + kMaxRunTime;
+  }
+  return aNow + (aJob.mSubmittedAt + route->mAbandonAfter - WallNow());
+}
+
 // Appends the data of the events that follow those received before, skipping
 // repeated ones; false if events in between are missing.
 auto AppendEvents(BatchItem& aItem, const std::vector<StreamEvent>& aEvents)
@@ -27,7 +47,7 @@
     if (order == EventOrder::Gap) {
       return false;
     }
-    if (order == EventOrder::Repeated) {
+    if (order == EventOrder::Repeated || !IsProgress(event)) {
       continue;
     }
     if (aItem.mLastEvent || !aItem.mOutput.empty()) {
@@ -40,6 +60,14 @@
   return true;
 }
 
+// Makes the next run of the item start with its first event.
+auto DiscardOutput(BatchItem& aItem) -> void
+{
+  aItem.mOutput.clear();
+  aItem.mLastEvent.reset();
+  aItem.mEvents = 0;
+}
+
 } // namespace
 
 auto WallNow() -> WallTime
@@ -243,6 +271,10 @@
     run->mItem = items[i].first;
     run->mEndpoint = aPool.mEndpoints[*place];
     run->mStartedAt = aNow;
+    run->mDeadline = RunDeadline(*mState.mDocument,
+                                 *run->mItem.mJob,
+                                 run->mItem.mJob->mItems[run->mItem.mIndex],
+                                 aNow);
     run->mItem.mJob->mItems[run->mItem.mIndex].mRunning = true;
     mRunning.push_back(run);
     Spawn(mState.mLoop, RunOne(run));
@@ -364,7 +396,7 @@
     mProtocol.mItemRequest(aRun->mItem.mJob->mHost, item.mSubmitted, dispatch);
   auto error = co_await SendRequest(
     **connection, request, Clock::now() + mPolicy.mIdleTimeout);
-  ResponseParser parser;
+  std::optional<ResponseParser> parser;
   if (!error) {
     error = co_await ReadHead(
       **connection, parser, Clock::now() + mPolicy.mIdleTimeout);
@@ -373,11 +405,11 @@
   if (error) {
     outcome = RecordFailure(*aRun, error.message());
   } else {
-    outcome = co_await ReadEvents(*aRun, **connection, parser);
+    outcome = co_await ReadEvents(*aRun, **connection, *parser);
   }
   aRun->mStop = nullptr;
-  if (!aRun->mStopped && parser.is_done()) {
-    const auto usableUntil = ReusableUntil(**connection, parser, Clock::now());
+  if (!aRun->mStopped && parser && parser->is_done()) {
+    const auto usableUntil = ReusableUntil(**connection, *parser, Clock::now());
     mState.mPool.Release(std::move(*connection),
                          usableUntil,
                          IdleConnectionLimit(mState, endpoint));
@@ -398,6 +430,10 @@
   if (!metadata.mId.empty() && metadata.mId != item.mSubmitted.id) {
     co_return RecordFailure(aRun, "response has the id of another request");
   }
+  // It may be a duplicate answer to an earlier request on this connection.
+  if (metadata.mId.empty() && aConnection.mReused) {
+    co_return RecordFailure(aRun, "response without an id");
+  }
   if (metadata.mNotExecuted || metadata.mWrongEndpoint) {
     RecordExchange(mState,
                    *aRun.mEndpoint,
@@ -417,9 +453,12 @@
     co_return RecordFailure(aRun, absl::StrCat("status ", status));
   }
   EventSplitter splitter;
+  const auto nextDeadline = [&] {
+    return std::min(Clock::now() + mPolicy.mIdleTimeout, aRun.mDeadline);
+  };
+  auto progressBy = nextDeadline(); // extended by whole events only
   while (!aParser.is_done()) {
-    const auto bytes = co_await ReadSomeBody(
-      aConnection, aParser, Clock::now() + mPolicy.mIdleTimeout);
+    const auto bytes = co_await ReadSomeBody(aConnection, aParser, progressBy);
     if (aRun.mStopped) {
       co_return RunOutcome::Interrupted;
     }
@@ -427,10 +466,22 @@
       co_return RecordFailure(aRun, bytes.error().message());
     }
     const auto events = SplitEvents(splitter, *bytes);
-    aRun.mEvents += static_cast<std::uint32_t>(events.size());
+    if (IsOverlong(splitter)) {
+      co_return RecordFailure(aRun, "event exceeds the size limit");
+    }
+    const auto before = item.mEvents;
     if (!AppendEvents(item, events)) {
       co_return RecordFailure(aRun, "events are missing in the stream");
     }
+    if (item.mEvents > before) {
+      progressBy = nextDeadline();
+    }
+    aRun.mEvents += item.mEvents - before;
+    if (item.mOutput.size() > kMaxOutputBytes) {
+      RecordFailure(aRun, "output exceeds the size limit");
+      DiscardOutput(item);
+      co_return RunOutcome::Failed;
+    }
   }
   if (!splitter.mPartial.empty()) {
     co_return RecordFailure(aRun, "stream ended within an event");
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -20,7 +20,7 @@
   // Interval at which the load is evaluated. An online request whose slot is
   // used by batch waits up to this long plus the delay of a load report.
   Duration mInterval = std::chrono::milliseconds(40);
-  // An item that receives nothing from its endpoint for this long is
+  // An item that receives no event from its endpoint for this long is
   // interrupted and resumed at another one.
   Duration mIdleTimeout = std::chrono::milliseconds(2500);
   Duration mConnectTimeout = std::chrono::milliseconds(400);
@@ -71,6 +71,7 @@
     RunnableItem mItem;
     EndpointPtr mEndpoint;
     TimePoint mStartedAt;
+    TimePoint mDeadline;       // when its item may be abandoned
     std::uint32_t mEvents = 0; // received by this run
     bool mStopped = false;
     std::function<void()> mStop; // closes the connection
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -26,7 +26,9 @@
 constexpr auto kIdleMargin = std::chrono::milliseconds(700);
 
 constexpr std::size_t kMaxHeaderBytes = 64UL << 10U;
-constexpr std::size_t kMaxResponseBytes = 64UL << 20U;
+
+// Interim responses before one final response.
+constexpr int kMaxInterimResponses = 8;
 
 auto SetOptions(Tcp::socket& aSocket) -> void
 {
@@ -186,16 +188,31 @@
 }
 
 auto ReadHead(ClientConnection& aConnection,
-              ResponseParser& aParser,
+              std::optional<ResponseParser>& aParser,
               TimePoint aDeadline) -> Task<ErrorCode>
 {
-  aParser.header_limit(kMaxHeaderBytes);
-  aParser.body_limit(kMaxResponseBytes);
   aConnection.mStream.expires_at(aDeadline);
-  ErrorCode error;
-  co_await http::async_read_header(
-    aConnection.mStream, aConnection.mBuffer, aParser, CaptureError(error));
-  co_return error;
+  for (auto interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    aParser.emplace();
+    aParser->header_limit(kMaxHeaderBytes);
+    aParser->body_limit(kMaxStreamBytes);
+    ErrorCode error;
+    co_await http::async_read_header(
+      aConnection.mStream, aConnection.mBuffer, *aParser, CaptureError(error));
+    if (error) {
+      co_return error;
+    }
+    // As a number, because the library does not know all interim statuses.
+    const auto status = aParser->get().result_int();
+    // No request asks for an upgrade, so this response has no defined meaning.
+    if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+      break;
+    }
+    if (status >= static_cast<unsigned>(http::status::ok)) {
+      co_return ErrorCode();
+    }
+  }
+  co_return ErrorCode(http::error::bad_status);
 }
 
 auto ReadSomeBody(ClientConnection& aConnection,
@@ -216,15 +233,38 @@
 
 auto ReadBody(ClientConnection& aConnection,
               ResponseParser& aParser,
-              TimePoint aDeadline) -> Task<ErrorCode>
+              TimePoint aDeadline,
+              std::size_t aMaxBytes,
+              BudgetedBytes* aBytes) -> Task<ErrorCode>
 {
+  // A parser reserves the announced length before it reads.
+  if (aParser.content_length() && *aParser.content_length() > aMaxBytes) {
+    co_return ErrorCode(http::error::body_limit);
+  }
   aConnection.mStream.expires_at(aDeadline);
-  ErrorCode error;
-  if (!aParser.is_done()) {
-    co_await http::async_read(
+  while (!aParser.is_done()) {
+    ErrorCode error;
+    co_await http::async_read_some(
       aConnection.mStream, aConnection.mBuffer, aParser, CaptureError(error));
+    if (error) {
+      co_return error;
+    }
+    const auto size = aParser.get().body().size();
+    if (size > aMaxBytes) {
+      co_return ErrorCode(http::error::body_limit);
+    }
+    if (aBytes != nullptr && !aBytes->Resize(size)) {
+      co_return ErrorCode(asio::error::no_buffer_space);
+    }
   }
-  co_return error;
+  co_return ErrorCode();
+}
+
+auto DiscardBody(ClientConnection& aConnection,
+                 ResponseParser& aParser,
+                 TimePoint aDeadline) -> Task<ErrorCode>
+{
+  return ReadBody(aConnection, aParser, aDeadline, kMaxDiscardedBytes);
 }
 
 auto ReusableUntil(const ClientConnection& aConnection,
@@ -253,13 +293,13 @@
     co_return Err(CallError::NotSent);
   }
   aRequest.prepare_payload();
-  ResponseParser parser;
+  std::optional<ResponseParser> parser;
   auto error = co_await SendRequest(**connection, aRequest, aDeadline);
   if (!error) {
     error = co_await ReadHead(**connection, parser, aDeadline);
   }
   if (!error) {
-    error = co_await ReadBody(**connection, parser, aDeadline);
+    error = co_await ReadBody(**connection, *parser, aDeadline);
   }
   if (error) {
     // Other idle connections have probably been closed or become unresponsive
@@ -267,9 +307,9 @@
     aPool.CloseIdleConnections(aAddress);
     co_return Err(CallError::NoResponse);
   }
-  const auto usableUntil = ReusableUntil(**connection, parser, Clock::now());
+  const auto usableUntil = ReusableUntil(**connection, *parser, Clock::now());
   aPool.Release(std::move(*connection), usableUntil);
-  co_return parser.release();
+  co_return parser->release();
 }
 
 } // namespace mangovalve
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/container/flat_hash_map.h>
@@ -17,6 +18,17 @@
 
 namespace mangovalve {
 
+// Unparsed bytes that one connection buffers. Larger than the head of a
+// response and one read together.
+constexpr std::size_t kMaxBufferBytes = 256UL << 10U;
+
+// Body of a response that is passed on in parts, and of one that is kept whole.
+constexpr std::size_t kMaxStreamBytes = 64UL << 20U;
+constexpr std::size_t kMaxBodyBytes = 16UL << 20U;
+
+// Body of a response that is read only to keep the connection in use.
+constexpr std::size_t kMaxDiscardedBytes = 64UL << 10U;
+
 // A connection used by one exchange at a time. The destructor closes it.
 struct ClientConnection
 {
@@ -26,7 +38,7 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxBufferBytes };
   std::string mAddress;
   bool mReused = false;
   TimePoint mIdleSince{};
@@ -84,9 +96,10 @@
                  const Request& aRequest,
                  TimePoint aDeadline) -> Task<ErrorCode>;
 
-// Reads the response up to the end of the headers.
+// Reads the response up to the end of the headers, after any interim responses
+// (1xx), into a new parser in aParser.
 auto ReadHead(ClientConnection& aConnection,
-              ResponseParser& aParser,
+              std::optional<ResponseParser>& aParser,
               TimePoint aDeadline) -> Task<ErrorCode>;
 
 // Reads and returns the next part of the body; aParser.is_done() tells whether
@@ -95,10 +108,51 @@
                   ResponseParser& aParser,
                   TimePoint aDeadline) -> Task<Result<std::string, ErrorCode>>;
 
-// Reads the rest of the body, up to the parser's limit.
+// Bytes of bodies that several exchanges keep at the same time.
+struct ByteBudget
+{
+  std::size_t mLimit = 0;
+  std::size_t mUsed = 0;
+};
+
+// The bytes of one exchange. The destructor returns them.
+class BudgetedBytes
+{
+public:
+  explicit BudgetedBytes(ByteBudget& aBudget)
+    : mBudget(aBudget)
+  {
+  }
+  ~BudgetedBytes() { mBudget.mUsed -= mBytes; }
+  BudgetedBytes(const BudgetedBytes&) = delete;
+  auto operator=(const BudgetedBytes&) -> BudgetedBytes& = delete;
+
+  // Sets the number of bytes; false if the budget is exceeded.
+  auto Resize(std::size_t aBytes) -> bool
+  {
+    mBudget.mUsed = mBudget.mUsed - mBytes + aBytes;
+    mBytes = aBytes;
+    return mBudget.mUsed <= mBudget.mLimit;
+  }
+
+private:
+  ByteBudget& mBudget;
+  std::size_t mBytes = 0;
+};
+
+// Reads the rest of the body. Fails with body_limit if it exceeds aMaxBytes,
+// and with no_buffer_space if it exceeds the budget.
 auto ReadBody(ClientConnection& aConnection,
               ResponseParser& aParser,
-              TimePoint aDeadline) -> Task<ErrorCode>;
+              TimePoint aDeadline,
+              std::size_t aMaxBytes = kMaxBodyBytes,
+              BudgetedBytes* aBytes = nullptr) -> Task<ErrorCode>;
+
+// Reads the rest of a body that nobody needs, so that the connection can be
+// reused. Fails with body_limit if that is not worthwhile.
+auto DiscardBody(ClientConnection& aConnection,
+                 ResponseParser& aParser,
+                 TimePoint aDeadline) -> Task<ErrorCode>;
 
 // Time until which the connection may stay idle and be reused after this
 // response; aNow if it can't be reused.
--- /dev/null
+++ b/mangovalve/loop/http_client_test.cc
@@ -0,0 +1,204 @@
+// Tests of the HTTP client against servers that send bytes outside the
+// protocol, or without end.
+#include "mangovalve/loop/http_client.h"
+
+#include <doctest/doctest.h>
+
+#include "standins/common/free_address.h"
+#include "standins/common/raw_server.h"
+
+namespace mangovalve {
+namespace {
+
+using standin::FreeAddress;
+using standin::RawServer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kCallTimeout = milliseconds(400);
+
+// Ends a case that hangs; generous, since the machine may be busy.
+constexpr auto kCaseDeadline = seconds(40);
+
+auto Call(asio::io_context& aLoop,
+          ConnectionPool& aPool,
+          const std::string& aAddress,
+          Duration aTimeout) -> Result<Response, CallError>
+{
+  std::optional<Result<Response, CallError>> result;
+  Spawn(aLoop,
+        [](ConnectionPool& aFrom,
+           std::string aTo,
+           Duration aLimit,
+           std::optional<Result<Response, CallError>>& aInto) -> Task<> {
+          aInto = co_await CallOnce(aFrom,
+                                    aTo,
+                                    Request(http::verb::get, "/", 11),
+                                    Clock::now() + aLimit);
+        }(aPool, aAddress, aTimeout, result));
+  const auto deadline = Clock::now() + kCaseDeadline;
+  while (!result) {
+    REQUIRE(Clock::now() < deadline);
+    aLoop.run_for(milliseconds(5));
+  }
+  return *result;
+}
+
+TEST_CASE("interim responses are not taken for the answer")
+{
+  asio::io_context loop;
+  RawServer server(
+    loop,
+    [](RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+      co_await aServer.Send(aSocket,
+                            "HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+  const auto address = FreeAddress();
+  REQUIRE_FALSE(server.Listen(address));
+  ConnectionPool pool(loop);
+  for (auto i = 0; i < 3; ++i) {
+    const auto response = Call(loop, pool, address, seconds(20));
+    REQUIRE(response);
+    CHECK(response->result() == http::status::ok);
+    CHECK(response->body() == "ok");
+  }
+}
+
+// Bytes of a response: a beginning, then a part that is repeated without end.
+struct Flood
+{
+  const char* mName;
+  std::string mBegin;
+  std::string mRepeat;
+};
+
+auto Floods() -> std::vector<Flood>
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(4096, 'x');
+  return {
+    { "status line", "HTTP/1.1 200 ", filler },
+    { "header field", ok + "X: ", filler },
+    { "header fields", ok, "X: " + filler.substr(0, 90) + "\r\n" },
+    { "interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    { "chunk size", chunked, std::string(4096, '0') },
+    { "chunk extension", chunked + "5;", filler },
+    { "trailers", chunked + "0\r\n", "X: " + filler.substr(0, 90) + "\r\n" },
+    { "chunks", chunked, "1000\r\n" + filler + "\r\n" },
+    { "body with a length",
+      ok + "Content-Length: 100000000000\r\n\r\n",
+      filler },
+    { "body without a length", ok + "\r\n", filler },
+    { "no protocol", "", filler },
+  };
+}
+
+TEST_CASE("a response without end is given up within bounds of bytes and time")
+{
+  // Guards against a server that fills the memory of a host or holds its
+  // connection: fast, each flood must exceed a bound of bytes; slow, the
+  // deadline of the call.
+  for (const auto pause : { Duration(0), Duration(milliseconds(5)) }) {
+    for (const auto& flood : Floods()) {
+      CAPTURE(flood.mName);
+      asio::io_context loop;
+      RawServer server(
+        loop,
+        [&](
+          RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+          auto begin = flood.mBegin;
+          co_await aServer.Send(aSocket, std::move(begin));
+          co_await aServer.SendForever(aSocket, flood.mRepeat, pause);
+        });
+      const auto address = FreeAddress();
+      REQUIRE_FALSE(server.Listen(address));
+      ConnectionPool pool(loop);
+      const auto response = Call(loop, pool, address, kCallTimeout);
+      REQUIRE_FALSE(response);
+      CHECK(response.error() == CallError::NoResponse);
+      // The client has closed the connection, so the server stops.
+      const auto deadline = Clock::now() + kCaseDeadline;
+      while (server.mOpen > 0) {
+        REQUIRE(Clock::now() < deadline);
+        loop.run_for(milliseconds(5));
+      }
+      // Sockets of both ends buffer some megabytes besides.
+      CHECK(server.mBytesSent < kMaxBodyBytes + (16UL << 20U));
+    }
+  }
+}
+
+TEST_CASE("bytes after a response end the reuse of its connection")
+{
+  // Guards against an answer that is taken for that of the next call, with the
+  // stray bytes arriving together with the first response or just after it.
+  for (const auto delay : { milliseconds(0), milliseconds(20) }) {
+    asio::io_context loop;
+    auto connections = 0;
+    RawServer server(
+      loop,
+      [&](RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+        const auto number = std::to_string(++connections);
+        const auto answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + number;
+        if (delay.count() == 0) {
+          co_await aServer.Send(aSocket, answer + answer);
+          co_return;
+        }
+        auto first = answer;
+        co_await aServer.Send(aSocket, std::move(first));
+        co_await SleepUntil(Clock::now() + delay);
+        auto second = answer;
+        co_await aServer.Send(aSocket, std::move(second));
+      });
+    const auto address = FreeAddress();
+    REQUIRE_FALSE(server.Listen(address));
+    ConnectionPool pool(loop);
+    for (auto i = 1; i <= 4; ++i) {
+      const auto response = Call(loop, pool, address, seconds(20));
+      REQUIRE(response);
+      CHECK(response->body() == std::to_string(i));
+      loop.run_for(4 * delay + milliseconds(5));
+    }
+  }
+}
+
+TEST_CASE("a response that breaks off is an error at every byte")
+{
+  // Guards against a truncated response that looks complete, with a length, in
+  // chunks, and without a length when the connection is reset.
+  const std::vector<std::string> responses = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nhello\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"
+  };
+  for (std::size_t kind = 0; kind < responses.size(); ++kind) {
+    const auto reset = kind == 2;
+    for (std::size_t length = 0; length < responses[kind].size(); ++length) {
+      asio::io_context loop;
+      RawServer server(
+        loop,
+        [&](
+          RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+          auto part = responses[kind].substr(0, length);
+          co_await aServer.Send(aSocket, std::move(part));
+          ErrorCode ignored;
+          if (reset) {
+            aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+          }
+          aSocket.close(ignored);
+        });
+      const auto address = FreeAddress();
+      REQUIRE_FALSE(server.Listen(address));
+      ConnectionPool pool(loop);
+      REQUIRE_FALSE(Call(loop, pool, address, seconds(20)));
+    }
+  }
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -1,6 +1,7 @@
 // HTTP/1.1 server on the event loop.
 #include "mangovalve/loop/http_server.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include <absl/strings/str_cat.h>
@@ -42,6 +43,12 @@
          aError != http::error::partial_message;
 }
 
+auto HasPendingInput(Tcp::socket& aSocket) -> bool
+{
+  char byte = 0;
+  return recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 auto HeadText(const ResponseHead& aHead) -> std::string
 {
   std::ostringstream text;
@@ -236,11 +243,9 @@
   caller.mAnswered = false;
   caller.mClosing = caller.mClosing || mClosing || !parser.keep_alive();
   stream.expires_never();
-  ++mActive;
   Spawn(mLoop, WatchForDisconnect(aCaller));
   auto request = std::make_shared<Request>(parser.release());
   co_await mHandler(aCaller, std::move(request));
-  --mActive;
   caller.mOnDisconnect = nullptr;
   if (!caller.mAnswered || caller.mChunked) {
     caller.Abort();
@@ -285,16 +290,34 @@
 auto AsyncHttpServer::CloseIdle() -> void
 {
   for (const auto& caller : mCallers) {
-    if (caller->mIdle) {
+    if (caller->mIdle && !HasPendingInput(caller->mStream.socket())) {
       caller->mStream.cancel();
     }
   }
 }
 
+auto AsyncHttpServer::ActiveRequests() const -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(mCallers.begin(), mCallers.end(), [](const auto& aCaller) {
+      return !aCaller->mIdle;
+    }));
+}
+
 auto AsyncHttpServer::StopAccepting() -> void
 {
-  ErrorCode ignored; // the acceptor may be closed already
-  mAcceptor.close(ignored);
+  ErrorCode error; // also if the acceptor is closed already
+  mAcceptor.non_blocking(true, error);
+  // Closing the acceptor would reset the connections in its backlog, whose
+  // requests may have been sent already.
+  while (!error) {
+    Tcp::socket socket(mLoop);
+    mAcceptor.accept(socket, error);
+    if (!error) {
+      Spawn(mLoop, Serve(std::make_shared<Caller>(std::move(socket))));
+    }
+  }
+  mAcceptor.close(error);
 }
 
 } // namespace mangovalve
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -89,12 +89,14 @@
 
   // From now on, every response ends its connection.
   auto CloseAfterResponses() -> void;
-  // Closes the connections on which no request is in progress.
+  // Closes the connections on which no request is in progress and no byte of
+  // one has arrived.
   auto CloseIdle() -> void;
+  // Accepts the connections that are already established, then no more.
   auto StopAccepting() -> void;
 
-  // Number of requests that are being handled.
-  auto ActiveRequests() const -> std::size_t { return mActive; }
+  // Number of requests that are being read or handled.
+  auto ActiveRequests() const -> std::size_t;
 
 private:
   auto Accept() -> Task<>;
@@ -108,7 +110,6 @@
   Tcp::acceptor mAcceptor;
   absl::flat_hash_set<CallerPtr> mCallers;
   bool mClosing = false;
-  std::size_t mActive = 0;
 };
 
 } // namespace mangovalve
--- /dev/null
+++ b/mangovalve/loop/http_server_test.cc
@@ -0,0 +1,130 @@
+// Tests of the HTTP server during a planned stop: a request that has reached
+// the host before its connection closes is answered.
+#include "mangovalve/loop/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/loop/http_client.h"
+#include "standins/common/free_address.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct ServerUnderTest
+{
+  asio::io_context mLoop{ 1 };
+  std::string mAddress = standin::FreeAddress();
+  AsyncHttpServer mServer{ mLoop,
+                           [](CallerPtr aCaller,
+                              std::shared_ptr<Request>) -> Task<> {
+                             Response response(http::status::ok, 11);
+                             response.body() = "answer";
+                             co_await aCaller->Reply(std::move(response));
+                           },
+                           [] { return CallerLimits{}; } };
+
+  ServerUnderTest() { REQUIRE_FALSE(mServer.Listen(mAddress)); }
+
+  // Connects without running the server.
+  auto Connect() -> Tcp::socket
+  {
+    Tcp::socket socket(mLoop);
+    socket.connect(*ParseAddress(mAddress));
+    return socket;
+  }
+
+  // The steps of a planned stop.
+  auto Stop() -> void
+  {
+    mServer.CloseAfterResponses();
+    mServer.StopAccepting();
+    mServer.CloseIdle();
+  }
+
+  // Runs the server and reads until the connection ends.
+  auto ReadAll(Tcp::socket& aSocket) -> std::string
+  {
+    std::string text;
+    auto ended = false;
+    Spawn(mLoop,
+          [](Tcp::socket& aFrom, std::string& aInto, bool& aEnded) -> Task<> {
+            ErrorCode error;
+            co_await asio::async_read(
+              aFrom, asio::dynamic_buffer(aInto), CaptureError(error));
+            aEnded = true;
+          }(aSocket, text, ended));
+    const auto deadline = Clock::now() + seconds(20);
+    while (!ended) {
+      REQUIRE(Clock::now() < deadline);
+      mLoop.run_for(milliseconds(5));
+    }
+    return text;
+  }
+};
+
+auto IsAnswered(const std::string& aText) -> bool
+{
+  return aText.starts_with("HTTP/1.1 200") && aText.ends_with("answer") &&
+         aText.find("Connection: close") != std::string::npos;
+}
+
+TEST_CASE("a stop answers a request whose connection is not accepted yet")
+{
+  ServerUnderTest server;
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string(kRequest)));
+  server.Stop();
+  CHECK(IsAnswered(server.ReadAll(socket)));
+}
+
+TEST_CASE("a stop answers a request that arrives on a kept connection")
+{
+  ServerUnderTest server;
+  auto socket = server.Connect();
+  server.mLoop.run_for(milliseconds(20));
+  // The connection is accepted and idle; its request has not been read.
+  asio::write(socket, asio::buffer(std::string(kRequest)));
+  server.Stop();
+  CHECK(IsAnswered(server.ReadAll(socket)));
+}
+
+TEST_CASE("a stop answers a request that is read at any byte of its head")
+{
+  const std::string request = kRequest;
+  for (std::size_t read = 1; read < request.size(); ++read) {
+    ServerUnderTest server;
+    auto socket = server.Connect();
+    asio::write(socket, asio::buffer(request.substr(0, read)));
+    const auto deadline = Clock::now() + seconds(20);
+    while (server.mServer.ActiveRequests() == 0) {
+      REQUIRE(Clock::now() < deadline);
+      server.mLoop.run_for(milliseconds(2));
+    }
+    server.Stop();
+    CHECK(server.mServer.ActiveRequests() == 1);
+    asio::write(socket, asio::buffer(request.substr(read)));
+    CHECK(IsAnswered(server.ReadAll(socket)));
+    CHECK(server.mServer.ActiveRequests() == 0);
+  }
+}
+
+TEST_CASE("a stop closes idle connections and refuses new ones")
+{
+  ServerUnderTest server;
+  auto idle = server.Connect();
+  server.mLoop.run_for(milliseconds(20));
+  server.Stop();
+  CHECK(server.ReadAll(idle).empty());
+  Tcp::socket late(server.mLoop);
+  ErrorCode error;
+  late.connect(*ParseAddress(server.mAddress), error);
+  CHECK(error);
+}
+
+} // namespace
+} // namespace mangovalve
--- a/mangovalve/online/event_stream.cc
+++ b/mangovalve/online/event_stream.cc
@@ -1,6 +1,8 @@
 // Parses a server-sent event stream.
 #include "mangovalve/online/event_stream.h"
 
+#include <algorithm>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
@@ -76,6 +78,20 @@
   return events;
 }
 
+auto IsOverlong(const EventSplitter& aSplitter) -> bool
+{
+  return aSplitter.mPartial.size() > kMaxEventBytes;
+}
+
+auto IsProgress(const StreamEvent& aEvent) -> bool
+{
+  const auto lines = Lines(aEvent);
+  return aEvent.mId.has_value() ||
+         std::any_of(lines.begin(), lines.end(), [](absl::string_view aLine) {
+           return FieldValue(aLine, "data").has_value();
+         });
+}
+
 auto EventData(const StreamEvent& aEvent) -> std::string
 {
   std::string data;
--- a/mangovalve/online/event_stream.h
+++ b/mangovalve/online/event_stream.h
@@ -16,11 +16,22 @@
   std::optional<std::uint64_t> mId;
 };
 
+// Largest event. An endpoint that sends a longer one, or one without end, has
+// failed.
+constexpr std::size_t kMaxEventBytes = 256UL << 10U;
+
 struct EventSplitter
 {
   std::string mPartial; // start of an incomplete event
 };
 
+// Whether the incomplete event exceeds kMaxEventBytes.
+auto IsOverlong(const EventSplitter& aSplitter) -> bool;
+
+// Whether the event advances its stream. Comments, which servers send to keep a
+// connection open, do not.
+auto IsProgress(const StreamEvent& aEvent) -> bool;
+
 // Appends the next bytes and returns the events that they complete.
 auto SplitEvents(EventSplitter& aSplitter, std::string_view aBytes)
   -> std::vector<StreamEvent>;
--- a/mangovalve/online/event_stream_test.cc
+++ b/mangovalve/online/event_stream_test.cc
@@ -6,6 +6,33 @@
 namespace mangovalve {
 namespace {
 
+TEST_CASE("comments and bytes without an event are no progress")
+{
+  // Guards against a stalled stream that is kept by keep-alive comments.
+  EventSplitter splitter;
+  auto events = SplitEvents(splitter, ": ping\n\n\n\ndata: a\n\nid: 4\n\n");
+  REQUIRE(events.size() == 4);
+  CHECK_FALSE(IsProgress(events[0]));
+  CHECK_FALSE(IsProgress(events[1]));
+  CHECK(IsProgress(events[2]));
+  CHECK(IsProgress(events[3]));
+  events = SplitEvents(splitter, ":data: a\nevent: x\n\n");
+  REQUIRE(events.size() == 1);
+  CHECK_FALSE(IsProgress(events[0]));
+}
+
+TEST_CASE("an event without end is recognized")
+{
+  EventSplitter splitter;
+  const std::string part(kMaxEventBytes / 4, 'x');
+  for (auto i = 0; i < 4; ++i) {
+    CHECK(SplitEvents(splitter, part).empty());
+    CHECK_FALSE(IsOverlong(splitter));
+  }
+  CHECK(SplitEvents(splitter, "x").empty());
+  CHECK(IsOverlong(splitter));
+}
+
 TEST_CASE("events do not depend on how the bytes are split")
 {
   // Covers all ways to split the stream into three parts.
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -34,6 +34,10 @@
 constexpr auto kStartupTime = milliseconds(1000);
 constexpr auto kNoDocumentRetryAfter = milliseconds(1500);
 
+// Largest answer that is not a stream of events. It is kept until it is
+// complete, so that a truncated answer never reaches the caller.
+constexpr std::size_t kMaxAnswerBytes = 4UL << 20U;
+
 // Number of answers to earlier requests that are discarded on one connection.
 constexpr int kMaxDiscardedAnswers = 2;
 
@@ -67,7 +71,8 @@
   bool mHeadSent = false;          // the caller has been sent the head
   // Id of the last event that the caller has received.
   std::optional<std::uint64_t> mLastEvent;
-  std::string mEndpoint; // id of the last endpoint, for the log
+  std::uint64_t mForwardedEvents = 0; // without comments
+  std::string mEndpoint;              // id of the last endpoint, for the log
 };
 
 enum class StepResult
@@ -103,7 +108,7 @@
     -> Task<StepResult>;
   auto ReadAnswerHead(Endpoint& aEndpoint,
                       ClientConnection& aConnection,
-                      std::unique_ptr<ResponseParser>& aParser)
+                      std::optional<ResponseParser>& aParser)
     -> Task<StepResult>;
   auto Deliver(Endpoint& aEndpoint,
                ClientConnection& aConnection,
@@ -294,8 +299,11 @@
 {
   const ScopedInFlight use(mState, aEndpoint, Workload::Online);
   const auto now = Clock::now();
-  const auto idleAfter =
-    MayRetryAfterRun() ? TimePoint::min() : now - mPolicy.mMaxIdleTime;
+  // Without an id, a duplicate answer to an earlier request on the connection
+  // could not be recognized.
+  const auto idleAfter = mContext.mMetadata.mId.empty() ? TimePoint::max()
+                         : MayRetryAfterRun()           ? TimePoint::min()
+                                              : now - mPolicy.mMaxIdleTime;
   auto connection = co_await mState.mPool.Acquire(
     aEndpoint->mRegistration.mAddress,
     idleAfter,
@@ -317,7 +325,7 @@
   mContext.mCaller->mOnDisconnect = [&stream] { stream.close(); };
   const auto startedAt = Clock::now();
   auto step = co_await Send(*aEndpoint, **connection);
-  std::unique_ptr<ResponseParser> parser;
+  std::optional<ResponseParser> parser;
   if (step == StepResult::Done) {
     step = co_await ReadAnswerHead(*aEndpoint, **connection, parser);
   }
@@ -389,14 +397,13 @@
 
 auto RelayedRequest::ReadAnswerHead(Endpoint& aEndpoint,
                                     ClientConnection& aConnection,
-                                    std::unique_ptr<ResponseParser>& aParser)
+                                    std::optional<ResponseParser>& aParser)
   -> Task<StepResult>
 {
   for (int discarded = 0; discarded <= kMaxDiscardedAnswers; ++discarded) {
-    aParser = std::make_unique<ResponseParser>();
     const auto watch = WatchFirstByte(aEndpoint, aConnection);
     const auto error =
-      co_await ReadHead(aConnection, *aParser, mContext.mDeadline);
+      co_await ReadHead(aConnection, aParser, mContext.mDeadline);
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
@@ -411,9 +418,15 @@
       co_return StepResult::Failed;
     }
     const auto metadata = mProtocol.mReadResponse(aParser->get().base());
-    if (metadata.mId.empty() || metadata.mId == mContext.mMetadata.mId) {
+    if (metadata.mId == mContext.mMetadata.mId ||
+        (metadata.mId.empty() && !aConnection.mReused)) {
       co_return StepResult::Done;
     }
+    // It may be a duplicate answer to an earlier request on this connection.
+    if (metadata.mId.empty()) {
+      NoteFailure(aEndpoint, "answer without an id on a reused connection");
+      co_return StepResult::Failed;
+    }
     // A duplicate answer to an earlier request on this connection.
     LogEvent(Severity::Warn,
              "stray_answer",
@@ -421,7 +434,7 @@
                { "answers", metadata.mId },
                { "endpoint", aEndpoint.mRegistration.mId } });
     const auto bodyError =
-      co_await ReadBody(aConnection, *aParser, FirstByteDeadline());
+      co_await DiscardBody(aConnection, *aParser, FirstByteDeadline());
     if (bodyError) {
       break;
     }
@@ -453,7 +466,7 @@
                    aMetadata.mWrongEndpoint ? ExchangeResult::Leaving
                                             : ExchangeResult::Ignored);
     const auto bodyError =
-      co_await ReadBody(aConnection, aParser, FirstByteDeadline());
+      co_await DiscardBody(aConnection, aParser, FirstByteDeadline());
     if (bodyError) {
       aConnection.mStream.close();
     }
@@ -482,7 +495,9 @@
                                   ClientConnection& aConnection,
                                   ResponseParser& aParser) -> Task<StepResult>
 {
-  const auto error = co_await ReadBody(aConnection, aParser, GapDeadline());
+  BudgetedBytes bytes(mState.mAnswerBytes);
+  const auto error = co_await ReadBody(
+    aConnection, aParser, GapDeadline(), kMaxAnswerBytes, &bytes);
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -505,9 +520,11 @@
                                    ResponseParser& aParser) -> Task<StepResult>
 {
   EventSplitter splitter;
+  // Extended by whole events only, so that single bytes and comments do not
+  // keep a stalled stream.
+  auto progressBy = GapDeadline();
   while (!aParser.is_done()) {
-    const auto bytes =
-      co_await ReadSomeBody(aConnection, aParser, GapDeadline());
+    const auto bytes = co_await ReadSomeBody(aConnection, aParser, progressBy);
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
@@ -516,7 +533,15 @@
       co_return StepResult::Failed;
     }
     const auto events = SplitEvents(splitter, *bytes);
+    if (IsOverlong(splitter)) {
+      NoteFailure(aEndpoint, "stream: event exceeds the size limit");
+      co_return StepResult::Failed;
+    }
+    const auto before = mContext.mForwardedEvents;
     const auto step = co_await ForwardEvents(events, aParser);
+    if (mContext.mForwardedEvents > before) {
+      progressBy = GapDeadline();
+    }
     if (step == StepResult::Failed) {
       NoteFailure(aEndpoint, "stream: events are missing");
     }
@@ -549,6 +574,7 @@
     }
     if (order == EventOrder::Next) {
       bytes += event.mText;
+      mContext.mForwardedEvents += IsProgress(event) ? 1 : 0;
       mContext.mLastEvent = event.mId ? event.mId : mContext.mLastEvent;
     }
   }
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "mangovalve/batch/flatbuffers_table.h"
 #include "mangovalve/serving/table_follower.h"
@@ -17,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr auto kStatePath = "/state";
+constexpr auto kDocumentPath = "/document";
 constexpr auto kMetricsPath = "/metrics";
 
 // A long poll, so that a change arrives immediately. Its timeout is short, so
@@ -43,6 +45,10 @@
 constexpr auto kPeerTimeout = milliseconds(800);
 constexpr auto kRegisterRetryDelay = milliseconds(500);
 
+// Copies of the whole state that are sent at the same time. A copy is about a
+// megabyte in a large fleet, and all hosts may ask for one at once.
+constexpr int kMaxStateCopies = 4;
+
 // A host that started less than this time ago has not heard all peers of its
 // domain yet.
 constexpr auto kSettlingTime = milliseconds(1500);
@@ -117,10 +123,7 @@
   mState.mHost = mSettings.mPeers;
   mState.mDomain = mSettings.mFailureDomain;
   mState.mRandom.mState = mIncarnation ^ StableHash(mSettings.mName);
-  mTables.mJobPartitions = mSettings.mJobPartitions;
-  mTables.mMaxRecordBytes = mSettings.mMaxRecordBytes;
-  mTables.mMaxCallBytes = mSettings.mMaxCallBytes;
-  mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
+  UseSettings();
 }
 
 auto ServingDaemon::MakeReportPorts() -> ReportPorts
@@ -280,8 +283,17 @@
     co_return;
   }
   Response response(http::status::ok, 11);
-  if (aRequest->target() == kStatePath) {
+  if (aRequest->target() == kStatePath &&
+      mStateCopiesInProgress >= kMaxStateCopies) {
+    response.result(http::status::service_unavailable);
+  } else if (aRequest->target() == kStatePath) {
     response.body() = PackTable<wire::StateCopy>(CopyState());
+    ++mStateCopiesInProgress;
+    co_await aCaller->Reply(std::move(response));
+    --mStateCopiesInProgress;
+    co_return;
+  } else if (aRequest->target() == kDocumentPath) {
+    response.body() = PackTable<wire::StateCopy>(CopyDocument());
   } else if (aRequest->target() == kMetricsPath) {
     response.set(http::field::content_type, "text/plain");
     response.body() = RenderCounters();
@@ -329,6 +341,18 @@
   Unregister(mState.mDirectory, aRecord.mKey, Clock::now());
 }
 
+// With the first page, this daemon knows enough endpoints to serve. A fleet of
+// hundreds of hosts that starts at once needs seconds for the whole table.
+auto ServingDaemon::ApplyEndpointPage(const std::vector<KeyedRecord>& aRecords)
+  -> void
+{
+  for (const auto& record : aRecords) {
+    ApplyEndpointRecord(record);
+  }
+  SyncPools(mState, Clock::now());
+  mEndpointsLoaded = mEndpointsLoaded || !mEndpointBytes.empty();
+}
+
 auto ServingDaemon::ReplaceEndpoints(const std::vector<KeyedRecord>& aRecords)
   -> void
 {
@@ -396,14 +420,23 @@
                       [this](const KeyedRecord& aRecord) {
                         ApplyEndpointRecord(aRecord);
                       },
-                      recordContact }));
+                      recordContact,
+                      [this](const std::vector<KeyedRecord>& aRecords) {
+                        ApplyEndpointPage(aRecords);
+                      } }));
 }
 
-auto ServingDaemon::CopyState() const -> wire::StateCopyT
+auto ServingDaemon::CopyDocument() const -> wire::StateCopyT
 {
   wire::StateCopyT copy;
   copy.document_version = mState.mDocument ? mState.mDocument->mVersion : 0;
   copy.document.assign(mDocumentBytes.begin(), mDocumentBytes.end());
+  return copy;
+}
+
+auto ServingDaemon::CopyState() const -> wire::StateCopyT
+{
+  auto copy = CopyDocument();
   for (const auto& [id, bytes] : mEndpointBytes) {
     auto record = std::make_unique<wire::RecordCopyT>();
     record->key = id;
@@ -427,11 +460,11 @@
 // Copies the document from a peer; with aWhole also the endpoints and hosts.
 auto ServingDaemon::CopyStateFrom(std::string aPeer, bool aWhole) -> Task<>
 {
-  Request request(http::verb::get, kStatePath, 11);
+  Request request(http::verb::get, aWhole ? kStatePath : kDocumentPath, 11);
   request.set(http::field::host, aPeer);
   const auto response = co_await CallOnce(
     mState.mPool, aPeer, std::move(request), Clock::now() + kPeerTimeout);
-  if (!response) {
+  if (!response || response->result() != http::status::ok) {
     co_return;
   }
   const auto copy = UnpackTable<wire::StateCopy>(response->body());
@@ -562,14 +595,43 @@
       co_return;
     }
     LogEvent(Severity::Info, "signal", { { "number", absl::StrCat(signal) } });
-    // SIGHUP is only logged: listen addresses can't change while callers are
-    // served, so there is nothing to reload.
-    if (signal != SIGHUP && !mDraining) {
+    if (signal == SIGHUP) {
+      ReloadSettings();
+    } else if (!mDraining) {
       Spawn(mLoop, Drain());
     }
   }
 }
 
+auto ServingDaemon::ReloadSettings() -> void
+{
+  if (!mReadSettings) {
+    return;
+  }
+  const auto changed = mReadSettings();
+  if (!changed) {
+    LogEvent(Severity::Error,
+             "settings_unreadable",
+             { { "reason", changed.error() } });
+    return;
+  }
+  auto update = UpdateSettings(mSettings, *changed);
+  mSettings = std::move(update.mSettings);
+  UseSettings();
+  SetLogLevel(mSettings.mLogLevel);
+  LogEvent(update.mNeedRestart.empty() ? Severity::Info : Severity::Warn,
+           "settings_reloaded",
+           { { "need_restart", absl::StrJoin(update.mNeedRestart, ",") } });
+}
+
+auto ServingDaemon::UseSettings() -> void
+{
+  mTables.mJobPartitions = mSettings.mJobPartitions;
+  mTables.mMaxRecordBytes = mSettings.mMaxRecordBytes;
+  mTables.mMaxCallBytes = mSettings.mMaxCallBytes;
+  mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
+}
+
 auto ServingDaemon::Drain() -> Task<>
 {
   const auto started = Clock::now();
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -48,6 +48,15 @@
   // could not be bound.
   auto Start() -> Result<void, std::string>;
 
+  // Reads the settings again, on SIGHUP. If empty, SIGHUP is only logged.
+  std::function<auto()->Result<ServingSettings, std::string>> mReadSettings;
+
+  // Puts changed settings in force; those that need a restart are logged. After
+  // an error, the current settings stay in force.
+  auto ReloadSettings() -> void;
+
+  auto Settings() const -> const ServingSettings& { return mSettings; }
+
 private:
   auto HandleCaller(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
     -> Task<>;
@@ -70,8 +79,10 @@
   auto ApplyDocument(const std::string& aBytes, std::string_view aSource)
     -> void;
   auto ApplyEndpointRecord(const KeyedRecord& aRecord) -> void;
+  auto ApplyEndpointPage(const std::vector<KeyedRecord>& aRecords) -> void;
   auto ReplaceEndpoints(const std::vector<KeyedRecord>& aRecords) -> void;
 
+  auto CopyDocument() const -> wire::StateCopyT;
   auto CopyState() const -> wire::StateCopyT;
   auto CopyStateFrom(std::string aPeer, bool aWhole) -> Task<>;
   auto LoadStateFromPeers() -> Task<>;
@@ -81,6 +92,7 @@
   auto UnregisterHost() -> Task<>;
   auto RunMaintenance() -> Task<>;
   auto FetchNewerDocument(TimePoint aNow) -> void;
+  auto UseSettings() -> void;
   auto WaitForSignals() -> Task<>;
   auto Drain() -> Task<>;
 
@@ -101,7 +113,8 @@
   // Records as read from the store, copied to other daemons on request.
   std::string mDocumentBytes;
   std::map<std::string, std::string> mEndpointBytes; // by endpoint id
-  bool mEndpointsLoaded = false;
+  bool mEndpointsLoaded = false; // at least the first page of them
+  int mStateCopiesInProgress = 0;
   bool mDraining = false;
   bool mFetching = false; // a newer document is being fetched from a peer
 };
--- a/mangovalve/serving/settings.cc
+++ b/mangovalve/serving/settings.cc
@@ -71,6 +71,27 @@
 
 } // namespace
 
+auto UpdateSettings(const ServingSettings& aCurrent,
+                    const ServingSettings& aChanged) -> SettingsUpdate
+{
+  SettingsUpdate update{ aChanged, {} };
+  const auto keep = [&](const char* aName, auto ServingSettings::*aMember) {
+    if (update.mSettings.*aMember != aCurrent.*aMember) {
+      update.mSettings.*aMember = aCurrent.*aMember;
+      update.mNeedRestart.emplace_back(aName);
+    }
+  };
+  keep("host.name", &ServingSettings::mName);
+  keep("host.failure_domain", &ServingSettings::mFailureDomain);
+  keep("listen.callers", &ServingSettings::mCallers);
+  keep("listen.readiness", &ServingSettings::mReadiness);
+  keep("listen.peers", &ServingSettings::mPeers);
+  keep("listen.operators", &ServingSettings::mOperators);
+  keep("store.address", &ServingSettings::mStore);
+  keep("store.job_partitions", &ServingSettings::mJobPartitions);
+  return update;
+}
+
 auto ReadServingSettings(const std::string& aPath)
   -> Result<ServingSettings, std::string>
 {
--- a/mangovalve/serving/settings.h
+++ b/mangovalve/serving/settings.h
@@ -32,6 +32,18 @@
   std::string mLogLevel = "info";
 };
 
+// Settings after a change of the file while the daemon runs.
+struct SettingsUpdate
+{
+  ServingSettings mSettings; // in force from now on
+  // Names of changed settings that are in force only after a restart, because
+  // they say where the daemon listens and what it is.
+  std::vector<std::string> mNeedRestart;
+};
+
+auto UpdateSettings(const ServingSettings& aCurrent,
+                    const ServingSettings& aChanged) -> SettingsUpdate;
+
 // Reads the file. The error names the file, the setting and the problem.
 auto ReadServingSettings(const std::string& aPath)
   -> Result<ServingSettings, std::string>;
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -66,6 +66,9 @@
   double mMeanSeconds = 0;
 };
 
+// Answers that this daemon keeps at the same time until they are complete.
+constexpr std::size_t kMaxAnswerBytesInMemory = 16UL << 20U;
+
 struct ServingState
 {
   explicit ServingState(asio::io_context& aLoop)
@@ -87,6 +90,7 @@
   // The same rates by hash of the team, which load reports contain.
   std::map<std::uint64_t, FleetRate*> mRateOfHash;
   ConnectionPool mPool;
+  ByteBudget mAnswerBytes{ kMaxAnswerBytesInMemory }; // of online requests
   Random mRandom;
   std::uint64_t mNextWaiter = 0;
   PlacementPolicy mPlacement;
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -1,6 +1,7 @@
 // Keeps a copy of one table of the store up to date.
 #include "mangovalve/serving/table_follower.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -13,6 +14,11 @@
 // configuration must be active.
 constexpr auto kRetryDelay = std::chrono::milliseconds(200);
 
+// The timeout of a page doubles with each failure up to this value. When many
+// hosts load a table at once, the store needs seconds for their pages, and a
+// repeated read would only add to its work.
+constexpr Duration kMaxPageTimeout = std::chrono::seconds(4);
+
 auto TableName(Table aTable) -> std::string
 {
   switch (aTable) {
@@ -34,6 +40,7 @@
   std::vector<KeyedRecord> mRecords;
   std::string mAfterKey;       // last key loaded
   std::optional<Offset> mFrom; // changes may be missing from here on
+  Duration mPageTimeout{ 0 };  // of the next page, if above the policy's
 };
 
 struct Follower
@@ -63,10 +70,12 @@
   auto Load() -> Task<bool>
   {
     for (auto more = true; more;) {
-      const auto deadline = Clock::now() + mPolicy.mResponseTimeout;
-      const auto page =
-        co_await mPorts.mNewest(mTable, 0, mLoading.mAfterKey, deadline);
+      const auto timeout =
+        std::max(mLoading.mPageTimeout, mPolicy.mResponseTimeout);
+      const auto page = co_await mPorts.mNewest(
+        mTable, 0, mLoading.mAfterKey, Clock::now() + timeout);
       if (!page) {
+        mLoading.mPageTimeout = std::min(2 * timeout, kMaxPageTimeout);
         co_return false;
       }
       // The pages are not a consistent snapshot, so all changes since the first
@@ -75,6 +84,9 @@
       auto& records = mLoading.mRecords;
       records.insert(
         records.end(), page->mRecords.begin(), page->mRecords.end());
+      if (mSinks.mPage) {
+        mSinks.mPage(page->mRecords);
+      }
       more = page->mMore && !page->mRecords.empty();
       mLoading.mAfterKey = records.empty() ? "" : records.back().mKey;
     }
--- a/mangovalve/serving/table_follower.h
+++ b/mangovalve/serving/table_follower.h
@@ -30,6 +30,9 @@
   std::function<void(const KeyedRecord&)> mApply;
   // Called after each read; tells whether the store answered.
   std::function<void(bool aAnswered)> mContact;
+  // Receives each page while the table is being loaded, before mReplace; may be
+  // empty. So a daemon can start to serve with a part of a large table.
+  std::function<void(const std::vector<KeyedRecord>&)> mPage = {};
 };
 
 // Keeps the sinks up to date until the loop stops.
--- a/mangovalve/serving/table_follower_test.cc
+++ b/mangovalve/serving/table_follower_test.cc
@@ -46,6 +46,7 @@
     co_return TableChanges{ {}, aFrom };
   };
   std::size_t records = 0;
+  std::size_t paged = 0;
   auto replaced = 0;
   const FollowPolicy policy{ milliseconds(1), false, milliseconds(100) };
   Spawn(loop,
@@ -57,10 +58,15 @@
                        ++replaced;
                      },
                       [](const auto&) {},
-                      [](bool) {} }));
+                      [](bool) {},
+                      [&](const auto& aPage) {
+                        CHECK(replaced == 0);
+                        paged += aPage.size();
+                      } }));
   loop.run_for(std::chrono::seconds(20));
   CHECK(records == kPages);
   CHECK(replaced == 1);
+  CHECK(paged == kPages); // each page is usable before the table is complete
   CHECK(reads.size() == kPages);
   for (const auto& [after, count] : reads) {
     CHECK_MESSAGE(count == 1, "page after ", after);
--- a/mangovalve/telemetry/event_log.cc
+++ b/mangovalve/telemetry/event_log.cc
@@ -58,7 +58,13 @@
   logger->removeAllAppenders();
   logger->setAdditivity(false);
   logger->addAppender(appender);
-  logger->setLevel(log4cxx::Level::toLevel(aLevel, log4cxx::Level::getInfo()));
+  SetLogLevel(aLevel);
+}
+
+auto SetLogLevel(const std::string& aLevel) -> void
+{
+  ProcessLogger()->setLevel(
+    log4cxx::Level::toLevel(aLevel, log4cxx::Level::getInfo()));
 }
 
 auto FormatEvent(std::string_view aEvent, const Fields& aFields) -> std::string
--- a/mangovalve/telemetry/event_log.h
+++ b/mangovalve/telemetry/event_log.h
@@ -32,6 +32,9 @@
 auto StartEventLog(const std::string& aLevel,
                    LogTarget aTarget = LogTarget::StandardError) -> void;
 
+// Changes the lowest level that is written; an unknown name means info.
+auto SetLogLevel(const std::string& aLevel) -> void;
+
 // Formats the line "event=NAME key=value ...".
 auto FormatEvent(std::string_view aEvent, const Fields& aFields) -> std::string;
 
