--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -153,6 +153,10 @@
     }
   }
   const auto estimate = EstimateWait(aState, pool, aRequest);
+  if (estimate.mSlots == 0) {
+    LogNoSlot(aState, aRequest, estimate);
+    co_return Slot{ nullptr, kNoEndpointRetryAfter };
+  }
   Slot slot;
   slot.mRetryAfter = std::chrono::duration_cast<milliseconds>(
     std::max<Duration>(estimate.mWait, kMinRetryAfter));
--- a/mangovalve/online/slot_queue_test.cc
+++ b/mangovalve/online/slot_queue_test.cc
@@ -51,6 +51,7 @@
     Spawn(mLoop, [](FullPool& aPool, SlotRequest aAsk, Slot& aSlot) -> Task<> {
       aSlot = co_await AcquireSlot(aPool.mState, std::move(aAsk));
     }(*this, std::move(request), slot));
+    mLoop.restart();
     mLoop.run_for(milliseconds(1));
     return slot;
   }
@@ -85,6 +86,30 @@
   CHECK(slot.mRetryAfter == milliseconds(1000));
 }
 
+TEST_CASE("a request that only a domain that is cut off could serve is refused")
+{
+  // Guards against requests that wait for connections into a domain which can't
+  // be reached (inc-8f51 of further). The pattern of load is a service without
+  // an endpoint in the domain that is cut off.
+  FullPool pool(0.1);
+  pool.mState.mDomain = "a";
+  auto& endpoint = *pool.mState.mPools["llm"].mEndpoints[0];
+  endpoint.mRegistration.mDomain = "b";
+  endpoint.mOwnInFlight.mOnline = 0;
+  // A silent domain or a silent store alone does not prove a cut.
+  pool.mState.mFleet.mDomains["b"].mUnresponsive = true;
+  CHECK(pool.Ask(milliseconds(200)).mEndpoint);
+  pool.mState.mFleet.mDomains["b"].mUnresponsive = false;
+  pool.mState.mDirectory.mStoreReachable = false;
+  CHECK(pool.Ask(milliseconds(200)).mEndpoint);
+  pool.mState.mFleet.mDomains["b"].mUnresponsive = true;
+  const auto slot = pool.Ask(milliseconds(200));
+  CHECK_FALSE(slot.mEndpoint);
+  CHECK(slot.mRetryAfter == milliseconds(1000));
+  endpoint.mOwnDomain = true;
+  CHECK(pool.Ask(milliseconds(200)).mEndpoint);
+}
+
 TEST_CASE("a request that may get a slot in time waits in the queue")
 {
   FullPool pool(0.1);
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -184,14 +184,26 @@
     candidates.push_back(CandidateOf(aState, *endpoint, aNow));
     usable = usable || candidates.back().mUsable;
   }
-  // If no endpoint is healthy, try them all the same instead of refusing every
-  // request.
+  // If no endpoint is healthy, try those that can be reached instead of
+  // refusing every request.
   for (std::size_t i = 0; !usable && i < candidates.size(); ++i) {
-    candidates[i].mUsable = !aPool.mEndpoints[i]->mRegistration.mLeaving;
+    const auto& endpoint = *aPool.mEndpoints[i];
+    candidates[i].mUsable =
+      !endpoint.mRegistration.mLeaving && !IsCutOff(aState, endpoint);
   }
   return candidates;
 }
 
+auto IsCutOff(const ServingState& aState, const Endpoint& aEndpoint) -> bool
+{
+  if (aEndpoint.mOwnDomain || aState.mDirectory.mStoreReachable) {
+    return false;
+  }
+  const auto& domains = aState.mFleet.mDomains;
+  const auto domain = domains.find(aEndpoint.mRegistration.mDomain);
+  return domain != domains.end() && domain->second.mUnresponsive;
+}
+
 auto CandidateOf(const ServingState& aState,
                  const Endpoint& aEndpoint,
                  TimePoint aNow) -> PlacementCandidate
@@ -199,8 +211,9 @@
   const auto total = TotalInFlight(aState, aEndpoint);
   PlacementCandidate candidate;
   candidate.mOwnDomain = aEndpoint.mOwnDomain;
-  candidate.mUsable =
-    !aEndpoint.mRegistration.mLeaving && Usable(aEndpoint.mHealth, aNow);
+  candidate.mUsable = !aEndpoint.mRegistration.mLeaving &&
+                      !IsCutOff(aState, aEndpoint) &&
+                      Usable(aEndpoint.mHealth, aNow);
   candidate.mSlots = aEndpoint.mRegistration.mSlots;
   candidate.mOnline = total.mOnline;
   candidate.mBatch = total.mBatch;
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -117,6 +117,11 @@
                 const ServicePool& aPool,
                 TimePoint aNow) -> std::vector<PlacementCandidate>;
 
+// Whether nothing can reach the endpoint's failure domain from here: its
+// summaries have stopped and the store does not answer either. One of the two
+// alone may be a lost gateway or an outage of the store.
+auto IsCutOff(const ServingState& aState, const Endpoint& aEndpoint) -> bool;
+
 // The same for one endpoint, without the fallback for a service whose endpoints
 // are all unhealthy.
 auto CandidateOf(const ServingState& aState,
