--- a/fuzz/parsers_fuzz.cc
+++ b/fuzz/parsers_fuzz.cc
@@ -40,9 +40,8 @@
   const auto begin = aText.find_first_of("0123456789", aFrom);
   if (begin != std::string::npos) {
     const auto end = aText.find_first_not_of("0123456789", begin);
-    aText.replace(begin,
-                  (end == std::string::npos ? aText.size() : end) - begin,
-                  aNumber);
+    aText.replace(
+      begin, (end == std::string::npos ? aText.size() : end) - begin, aNumber);
   }
 }
 
