--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -97,13 +97,13 @@
   CHECK(IsAnswered(server.ReadAll(socket)));
 }
 
-TEST_CASE("a stop answers a request that is read at any byte of its head")
+// Stops a server after each number of bytes that it may have read.
+auto CheckStopWhileReading(const std::string& aRequest) -> void
 {
-  const std::string request = kRequest;
-  for (std::size_t read = 1; read < request.size(); ++read) {
+  for (std::size_t read = 1; read < aRequest.size(); ++read) {
     ServerUnderTest server;
     auto socket = server.Connect();
-    asio::write(socket, asio::buffer(request.substr(0, read)));
+    asio::write(socket, asio::buffer(aRequest.substr(0, read)));
     const auto deadline = Clock::now() + seconds(20);
     while (server.mServer.ActiveRequests() == 0) {
       REQUIRE(Clock::now() < deadline);
@@ -111,12 +111,25 @@
     }
     server.Stop();
     CHECK(server.mServer.ActiveRequests() == 1);
-    asio::write(socket, asio::buffer(request.substr(read)));
+    asio::write(socket, asio::buffer(aRequest.substr(read)));
     CHECK(IsAnswered(server.ReadAll(socket)));
     CHECK(server.mServer.ActiveRequests() == 0);
   }
 }
 
+TEST_CASE("a stop answers a request that is read at any byte")
+{
+  const std::vector<std::string> requests = {
+    kRequest,
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nbody\r\n0\r\n\r\n"
+  };
+  for (const auto& request : requests) {
+    CheckStopWhileReading(request);
+  }
+}
+
 TEST_CASE("a stop closes idle connections and refuses new ones")
 {
   ServerUnderTest server;
