--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -9,8 +9,8 @@
 namespace {
 
 // A host of the own domain that has been silent for this time is not chosen as
-// a gateway. Longer than two intervals of unchanged reports would let receivers
-// count the domain as unresponsive before the next gateway takes over.
+// a gateway. The next one must take over before receivers count the domain as
+// unresponsive.
 constexpr auto kGatewayTimeout = std::chrono::milliseconds(700);
 
 // A sender of summaries that has been silent for this time is replaced by any
