--- a/mangovalve/base/id.h
+++ b/mangovalve/base/id.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -39,6 +40,9 @@
 auto StableHash(std::string_view aData, std::uint64_t aSeed = 0)
   -> std::uint64_t;
 
+// Formats hashes as comma-separated hexadecimal numbers.
+auto FormatHashes(std::span<const std::uint64_t> aHashes) -> std::string;
+
 // SHA-256 of the data as 64 lower-case hexadecimal digits.
 auto Sha256Hex(std::string_view aData) -> std::string;
 
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -7,6 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovalve/base/id.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
@@ -361,11 +362,14 @@
     return RunOutcome::Interrupted;
   }
   const auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex];
-  LogEvent(Severity::Warn,
-           "attempt_failed",
-           { { "id", item.mSubmitted.id },
-             { "endpoint", aRun.mEndpoint->mRegistration.mId },
-             { "reason", std::string(aReason) } });
+  LogEvent(
+    Severity::Warn,
+    "attempt_failed",
+    { { "id", item.mSubmitted.id },
+      { "endpoint", aRun.mEndpoint->mRegistration.mId },
+      { "reason", std::string(aReason) },
+      { "attempt_events", absl::StrCat(aRun.mEvents) },
+      { "parts", FormatHashes(mProtocol.mItemSharedParts(item.mSubmitted)) } });
   RecordExchange(mState, *aRun.mEndpoint, ExchangeResult::Failed);
   return RunOutcome::Interrupted;
 }
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "mangovalve/base/decayed_mean.h"
+#include "mangovalve/base/id.h"
 #include "mangovalve/loop/conditional_timeout.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/online/slot_queue.h"
@@ -72,6 +73,8 @@
   // Id of the last event that the caller has received.
   std::optional<std::uint64_t> mLastEvent;
   std::uint64_t mForwardedEvents = 0; // without comments
+  TimePoint mAttemptAt{};             // start of the current attempt
+  std::uint64_t mEventsBefore = 0;    // mForwardedEvents at that time
   std::string mEndpoint;              // id of the last endpoint, for the log
 };
 
@@ -171,12 +174,17 @@
 auto RelayedRequest::NoteFailure(Endpoint& aEndpoint, std::string_view aReason)
   -> void
 {
-  LogEvent(Severity::Warn,
-           "attempt_failed",
-           { { "id", mContext.mMetadata.mId },
-             { "endpoint", aEndpoint.mRegistration.mId },
-             { "reason", std::string(aReason) },
-             { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) } });
+  LogEvent(
+    Severity::Warn,
+    "attempt_failed",
+    { { "id", mContext.mMetadata.mId },
+      { "endpoint", aEndpoint.mRegistration.mId },
+      { "reason", std::string(aReason) },
+      { "attempt_ms", Millis(Clock::now() - mContext.mAttemptAt) },
+      { "attempt_events",
+        absl::StrCat(mContext.mForwardedEvents - mContext.mEventsBefore) },
+      { "parts", FormatHashes(mContext.mMetadata.mSharedParts) },
+      { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) } });
   RecordExchange(mState, aEndpoint, ExchangeResult::Failed);
 }
 
@@ -367,6 +375,8 @@
   dispatch.mResumeAfter = mContext.mLastEvent;
   const auto request = mProtocol.mEndpointRequest(*mContext.mRequest, dispatch);
   ++mContext.mAttempts;
+  mContext.mAttemptAt = now;
+  mContext.mEventsBefore = mContext.mForwardedEvents;
   const auto error =
     co_await SendRequest(aConnection, request, FirstByteDeadline());
   if (error && !mContext.mCaller->Disconnected()) {
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "mangovalve/base/result.h"
 #include "mangovalve/batch/job_records_generated.h"
@@ -26,8 +27,14 @@
   // How long the caller waits for the response.
   std::optional<std::chrono::milliseconds> mCallerTimeout;
   std::optional<std::uint64_t> mResumeAfter; // last event that it received
+  // Hashes of the parts of the prompt that other requests may share, in order.
+  // The last part belongs to the request alone and is left out.
+  std::vector<std::uint64_t> mSharedParts;
 };
 
+// Parts of one prompt that are read; later ones are ignored.
+constexpr std::size_t kMaxSharedParts = 32;
+
 // Metadata of a request that is forwarded to an endpoint.
 struct DispatchMetadata
 {
@@ -131,6 +138,9 @@
                      const DispatchMetadata&)
                   ->Request>
     mItemRequest;
+  // As RequestMetadata::mSharedParts.
+  std::function<auto(const wire::JobItemT&)->std::vector<std::uint64_t>>
+    mItemSharedParts;
   // Whether the response status means that retrying the item is useless.
   std::function<auto(unsigned aStatus)->bool> mIsPermanentFailure;
 };
