Log the phases of callers' connections when a host stops

The 'stopped' lines said cut=0 whatever was open: a connection counts as active only after its first byte has been read, so the log could not tell a request that crossed the end of its connection from one that was accepted and then dropped. 'listener_closing' and 'stopped' give the number of connections by phase, and those with unread bytes count as cut.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -218,6 +218,7 @@
     caller.mBuffer.commit(count);
     caller.mIdle = false;
   }
+  caller.mPhase = ConnectionPhase::Reading;
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
@@ -240,6 +241,7 @@
     co_return false;
   }
   caller.mArrivedAt = Clock::now();
+  caller.mPhase = ConnectionPhase::Handling;
   caller.mAnswered = false;
   caller.mClosing = caller.mClosing || mClosing || !parser.keep_alive();
   stream.expires_never();
@@ -247,6 +249,7 @@
   auto request = std::make_shared<Request>(parser.release());
   co_await mHandler(aCaller, std::move(request));
   caller.mOnDisconnect = nullptr;
+  caller.mPhase = ConnectionPhase::Idle;
   if (!caller.mAnswered || caller.mChunked) {
     caller.Abort();
   }
@@ -304,6 +307,30 @@
     }));
 }
 
+auto AsyncHttpServer::CountConnections() const -> ConnectionCounts
+{
+  ConnectionCounts counts;
+  for (const auto& caller : mCallers) {
+    switch (caller->mPhase) {
+      case ConnectionPhase::Opened:
+        ++counts.mOpened;
+        break;
+      case ConnectionPhase::Idle:
+        ++counts.mIdle;
+        break;
+      case ConnectionPhase::Reading:
+        ++counts.mReading;
+        break;
+      case ConnectionPhase::Handling:
+        ++counts.mHandling;
+        break;
+    }
+    counts.mUnread +=
+      caller->mIdle && HasPendingInput(caller->mStream.socket()) ? 1 : 0;
+  }
+  return counts;
+}
+
 auto AsyncHttpServer::StopAccepting() -> void
 {
   ErrorCode error; // also if the acceptor is closed already
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -23,6 +23,26 @@
   std::chrono::milliseconds mIdleTimeout{ 15000 };
 };
 
+// What a server is doing on a connection.
+enum class ConnectionPhase
+{
+  Opened,   // no byte of a first request has been read
+  Idle,     // a response was sent, no byte of another request has been read
+  Reading,  // part of a request has been read
+  Handling, // the handler runs
+};
+
+// Open connections of a server by phase.
+struct ConnectionCounts
+{
+  std::size_t mOpened = 0;
+  std::size_t mIdle = 0;
+  std::size_t mReading = 0;
+  std::size_t mHandling = 0;
+  // Connections in one of the first two phases with bytes that have arrived.
+  std::size_t mUnread = 0;
+};
+
 // The connection of a caller, on which one request at a time is handled.
 class Caller
 {
@@ -67,6 +87,7 @@
   bool mDisconnected = false;
   bool mClosing = false;  // responses announce the end of the connection
   bool mIdle = true;      // no request is being handled
+  ConnectionPhase mPhase = ConnectionPhase::Opened;
   bool mAnswered = false; // the response to the current request was begun
   bool mChunked = false;  // a chunked response was begun but not ended
 };
@@ -98,6 +119,8 @@
   // Number of requests that are being read or handled.
   auto ActiveRequests() const -> std::size_t;
 
+  auto CountConnections() const -> ConnectionCounts;
+
 private:
   auto Accept() -> Task<>;
   auto Serve(CallerPtr aCaller) -> Task<>;
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -66,6 +66,15 @@
 
 constexpr auto kDrainPollInterval = milliseconds(50);
 
+auto FieldsOf(const ConnectionCounts& aCounts) -> Fields
+{
+  return { { "opened", absl::StrCat(aCounts.mOpened) },
+           { "idle", absl::StrCat(aCounts.mIdle) },
+           { "reading", absl::StrCat(aCounts.mReading) },
+           { "handling", absl::StrCat(aCounts.mHandling) },
+           { "unread", absl::StrCat(aCounts.mUnread) } };
+}
+
 auto PeerLimits() -> CallerLimits
 {
   CallerLimits limits;
@@ -643,15 +652,19 @@
   mCallers.CloseAfterResponses();
   co_await mJobs.Drain(started + kResultFlushTime);
   co_await SleepUntil(started + kLoadBalancerRemovalTime);
+  LogEvent(
+    Severity::Info, "listener_closing", FieldsOf(mCallers.CountConnections()));
   mCallers.StopAccepting();
   mCallers.CloseIdle();
   while (mCallers.ActiveRequests() > 0 && Clock::now() < exitBy) {
     co_await SleepUntil(Clock::now() + kDrainPollInterval);
   }
   co_await UnregisterHost();
-  LogEvent(Severity::Info,
-           "stopped",
-           { { "cut", absl::StrCat(mCallers.ActiveRequests()) } });
+  const auto left = mCallers.CountConnections();
+  auto fields = FieldsOf(left);
+  fields.emplace_back(
+    "cut", absl::StrCat(left.mReading + left.mHandling + left.mUnread));
+  LogEvent(Severity::Info, "stopped", fields);
   mLoop.stop();
 }
 
