--- /dev/null
+++ b/mangovalve/routing/crash_suspects.h
@@ -0,0 +1,110 @@
+// Finds the parts of prompts that crash endpoints, and quarantines them.
+//
+// Evidence are the requests that an endpoint had not begun to answer when it
+// crashed. Several requests are in progress at a crash, and at most one of them
+// is its cause, so one crash proves nothing. A part is quarantined after
+// crashes at several times that all have a request with the part, without a
+// request with the part that an endpoint began to answer since the first of
+// them. Such an answer clears the part. Parts that occur in the same crashed
+// requests can't be told apart, so they are quarantined as a set: only requests
+// with all of them are refused, and a request with some of them clears those
+// when its answer begins.
+//
+// The hosts exchange their evidence and their quarantines. The functions are
+// pure; the current time is a parameter. Memory is bounded by SuspectPolicy.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovalve/base/time.h"
+
+namespace mangovalve {
+
+using PartHash = std::uint64_t;
+
+// A set of parts, sorted and without repetition.
+using PartSet = std::vector<PartHash>;
+
+// A request that an endpoint had not begun to answer when it crashed.
+struct CrashedRun
+{
+  std::uint64_t mId = 0; // of this run of the request, the same on all hosts
+  TimePoint mAt{};
+  PartSet mParts;
+};
+
+// Requests that contain all of these parts are refused.
+struct Quarantine
+{
+  PartSet mParts; // never empty
+  TimePoint mSince{};
+  TimePoint mUntil{};
+};
+
+struct SuspectPolicy
+{
+  std::size_t mCrashesToQuarantine = 4;
+  // A request is not retried after a crash if one of its parts has as many.
+  std::size_t mCrashesToSuspect = 2;
+  // Crashes within this time count as one: many endpoints that are lost at once
+  // have a common cause, which is not a request.
+  Duration mSameCrash = std::chrono::milliseconds(100);
+  // Evidence is forgotten after this time.
+  Duration mRetention = std::chrono::minutes(10);
+  Duration mQuarantine = std::chrono::hours(1);
+  std::size_t mMaxRuns = 256; // the oldest ones are forgotten first
+  std::size_t mMaxQuarantines = 64;
+};
+
+struct CrashSuspects
+{
+  std::deque<CrashedRun> mRuns; // ordered by mAt; mId is unique
+  // When an endpoint last began to answer a request with the part; only for
+  // parts in mRuns and mQuarantines.
+  absl::flat_hash_map<PartHash, TimePoint> mStarts;
+  std::vector<Quarantine> mQuarantines; // no set is a subset of another one
+};
+
+// Records a crashed run of this or another host, and quarantines parts with
+// enough evidence. Returns the new quarantines. A known run has no effect.
+auto RecordCrash(CrashSuspects& aSuspects,
+                 CrashedRun aRun,
+                 const SuspectPolicy& aPolicy,
+                 TimePoint aNow) -> std::vector<Quarantine>;
+
+// Records that an endpoint began at aAt to answer a request with these parts.
+// Cheap while there is neither evidence nor a quarantine.
+auto RecordStart(CrashSuspects& aSuspects,
+                 std::span<const PartHash> aParts,
+                 TimePoint aAt) -> void;
+
+// Adopts a quarantine of another host, unless one of its parts has been cleared
+// since. Returns whether it is new here.
+auto AdoptQuarantine(CrashSuspects& aSuspects,
+                     Quarantine aQuarantine,
+                     const SuspectPolicy& aPolicy,
+                     TimePoint aNow) -> bool;
+
+// Whether a request with these parts must be refused. aParts in any order.
+auto IsQuarantined(const CrashSuspects& aSuspects,
+                   std::span<const PartHash> aParts,
+                   TimePoint aNow) -> bool;
+
+// Whether a request with these parts may have caused crashes, so that it must
+// not be retried after another one. True for quarantined requests too.
+auto IsSuspected(const CrashSuspects& aSuspects,
+                 std::span<const PartHash> aParts,
+                 const SuspectPolicy& aPolicy,
+                 TimePoint aNow) -> bool;
+
+// Forgets expired evidence and quarantines.
+auto ForgetExpired(CrashSuspects& aSuspects,
+                   const SuspectPolicy& aPolicy,
+                   TimePoint aNow) -> void;
+
+} // namespace mangovalve
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -15,6 +15,7 @@
 #include "mangovalve/limits/fleet_rate.h"
 #include "mangovalve/loop/http_client.h"
 #include "mangovalve/loop/wakeup.h"
+#include "mangovalve/routing/crash_suspects.h"
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
 #include "mangovalve/serving/document.h"
@@ -95,6 +96,8 @@
   std::uint64_t mNextWaiter = 0;
   PlacementPolicy mPlacement;
   HealthPolicy mHealth;
+  CrashSuspects mSuspects;
+  SuspectPolicy mSuspectPolicy;
 };
 
 enum class Workload
