A stop waits for every request that has reached the host

A caller whose request arrived in the moment in which a host that was stopping closed its listener got neither an answer nor a refusal, although the request had been passed on.

Cause: the wait for active requests looked once, right after StopAccepting and CloseIdle, and counted only connections whose first byte had been read. One that had come from the backlog, or had unread bytes, counted as idle. With no other request in progress the wait was over at once; the last call to the store gave the request time to be read and passed on, and then the loop stopped. The log said cut=0 of it, as that was counted before the call.

The http_server case on idle connections used a connection that never had a request, which is no longer idle; it now uses one that has had an answer, and a further case bounds the time without a first request.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -19,6 +19,10 @@
 // Delay after a failed accept, which is mostly caused by a lack of descriptors.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
+// Time within which the first request of a new connection arrives. It covers
+// one retransmission of a lost packet.
+constexpr auto kFirstRequestTime = std::chrono::milliseconds(1000);
+
 constexpr int kBacklog = 512;
 constexpr std::size_t kReadBytes = 4096;
 
@@ -182,14 +186,23 @@
       co_await SleepUntil(Clock::now() + kAcceptRetryDelay);
       continue;
     }
-    Spawn(mLoop, Serve(std::make_shared<Caller>(std::move(socket))));
+    Admit(std::move(socket));
   }
 }
 
+// Counts the connection before its task starts, so that a stop in between waits
+// for it.
+auto AsyncHttpServer::Admit(Tcp::socket aSocket) -> void
+{
+  auto caller = std::make_shared<Caller>(std::move(aSocket));
+  caller->mClosing = mClosing;
+  mLastAccepted = caller->mAcceptedAt;
+  mCallers.insert(caller);
+  Spawn(mLoop, Serve(std::move(caller)));
+}
+
 auto AsyncHttpServer::Serve(CallerPtr aCaller) -> Task<>
 {
-  mCallers.insert(aCaller);
-  aCaller->mClosing = mClosing;
   for (auto open = true; open;) {
     open = co_await ServeOne(aCaller);
   }
@@ -207,8 +220,7 @@
   auto& caller = *aCaller;
   auto& stream = caller.mStream;
   ErrorCode error;
-  caller.mIdle = caller.mBuffer.size() == 0;
-  if (caller.mIdle) {
+  if (caller.mBuffer.size() == 0) {
     stream.expires_at(Clock::now() + limits.mIdleTimeout);
     const auto count = co_await stream.async_read_some(
       caller.mBuffer.prepare(kReadBytes), CaptureError(error));
@@ -216,7 +228,6 @@
       co_return false;
     }
     caller.mBuffer.commit(count);
-    caller.mIdle = false;
   }
   caller.mPhase = ConnectionPhase::Reading;
   http::request_parser<http::string_body> parser;
@@ -292,8 +303,12 @@
 
 auto AsyncHttpServer::CloseIdle() -> void
 {
+  const auto openedBefore = Clock::now() - kFirstRequestTime;
   for (const auto& caller : mCallers) {
-    if (caller->mIdle && !HasPendingInput(caller->mStream.socket())) {
+    const auto idle = caller->mPhase == ConnectionPhase::Idle ||
+                      (caller->mPhase == ConnectionPhase::Opened &&
+                       caller->mAcceptedAt < openedBefore);
+    if (idle && !HasPendingInput(caller->mStream.socket())) {
       caller->mStream.cancel();
     }
   }
@@ -303,7 +318,8 @@
 {
   return static_cast<std::size_t>(
     std::count_if(mCallers.begin(), mCallers.end(), [](const auto& aCaller) {
-      return !aCaller->mIdle;
+      return aCaller->mPhase == ConnectionPhase::Reading ||
+             aCaller->mPhase == ConnectionPhase::Handling;
     }));
 }
 
@@ -325,8 +341,10 @@
         ++counts.mHandling;
         break;
     }
+    const auto active = caller->mPhase == ConnectionPhase::Reading ||
+                        caller->mPhase == ConnectionPhase::Handling;
     counts.mUnread +=
-      caller->mIdle && HasPendingInput(caller->mStream.socket()) ? 1 : 0;
+      !active && HasPendingInput(caller->mStream.socket()) ? 1 : 0;
   }
   return counts;
 }
@@ -341,7 +359,7 @@
     Tcp::socket socket(mLoop);
     mAcceptor.accept(socket, error);
     if (!error) {
-      Spawn(mLoop, Serve(std::make_shared<Caller>(std::move(socket))));
+      Admit(std::move(socket));
     }
   }
   mAcceptor.close(error);
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -84,10 +84,11 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  ConnectionPhase mPhase = ConnectionPhase::Opened;
+  TimePoint mAcceptedAt = Clock::now();
   bool mDisconnected = false;
   bool mClosing = false; // responses announce the end of the connection
   bool mIdle = true;     // no request is being handled
-  ConnectionPhase mPhase = ConnectionPhase::Opened;
   bool mAnswered = false; // the response to the current request was begun
   bool mChunked = false;  // a chunked response was begun but not ended
 };
@@ -111,7 +112,8 @@
   // From now on, every response ends its connection.
   auto CloseAfterResponses() -> void;
   // Closes the connections on which no request is in progress and no byte of
-  // one has arrived.
+  // one has arrived. A new connection is kept for the time that its first
+  // request needs to arrive.
   auto CloseIdle() -> void;
   // Accepts the connections that are already established, then no more.
   auto StopAccepting() -> void;
@@ -120,9 +122,14 @@
   auto ActiveRequests() const -> std::size_t;
 
   auto CountConnections() const -> ConnectionCounts;
+  auto HasConnections() const -> bool { return !mCallers.empty(); }
+
+  // When the newest connection was accepted; zero if there was none.
+  auto LastAccepted() const -> TimePoint { return mLastAccepted; }
 
 private:
   auto Accept() -> Task<>;
+  auto Admit(Tcp::socket aSocket) -> void;
   auto Serve(CallerPtr aCaller) -> Task<>;
   auto ServeOne(CallerPtr aCaller) -> Task<bool>;
   static auto WatchForDisconnect(CallerPtr aCaller) -> Task<>;
@@ -131,7 +138,9 @@
   RequestHandler mHandler;
   std::function<auto()->CallerLimits> mLimits;
   Tcp::acceptor mAcceptor;
+  // Every accepted connection, from the moment of its acceptance.
   absl::flat_hash_set<CallerPtr> mCallers;
+  TimePoint mLastAccepted{};
   bool mClosing = false;
 };
 
--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -2,6 +2,7 @@
 // the host before its connection closes is answered.
 #include "mangovalve/loop/http_server.h"
 
+#include <array>
 #include <future>
 
 #include <doctest/doctest.h>
@@ -130,11 +131,30 @@
   }
 }
 
+// Reads one answer from a connection that stays open.
+auto ReadOne(ServerUnderTest& aServer, Tcp::socket& aSocket) -> std::string
+{
+  std::string text;
+  const auto deadline = Clock::now() + seconds(20);
+  while (!text.ends_with("answer")) {
+    REQUIRE(Clock::now() < deadline);
+    aServer.mLoop.run_for(milliseconds(2));
+    std::array<char, 1024> bytes{};
+    ErrorCode error; // would_block until the answer arrives
+    aSocket.non_blocking(true, error);
+    const auto count = aSocket.read_some(asio::buffer(bytes), error);
+    text.append(bytes.data(), count);
+  }
+  return text;
+}
+
 TEST_CASE("a stop closes idle connections and refuses new ones")
 {
   ServerUnderTest server;
   auto idle = server.Connect();
-  server.mLoop.run_for(milliseconds(20));
+  asio::write(idle, asio::buffer(std::string(kRequest)));
+  CHECK(ReadOne(server, idle).find("Connection: close") == std::string::npos);
+  idle.non_blocking(false);
   server.Stop();
   CHECK(server.ReadAll(idle).empty());
   Tcp::socket late(server.mLoop);
@@ -143,5 +163,27 @@
   CHECK(error);
 }
 
+// Guards against the close of a connection whose first request is on its way,
+// and against one without a request that keeps the process alive.
+TEST_CASE("a stop keeps a new connection for its first request only")
+{
+  ServerUnderTest server;
+  auto sending = server.Connect();
+  auto silent = server.Connect();
+  server.mLoop.run_for(milliseconds(20));
+  server.Stop();
+  server.mLoop.run_for(milliseconds(20));
+  asio::write(sending, asio::buffer(std::string(kRequest)));
+  CHECK(IsAnswered(server.ReadAll(sending)));
+  const auto deadline = Clock::now() + seconds(20);
+  while (server.mServer.HasConnections()) {
+    REQUIRE(Clock::now() < deadline);
+    server.mServer.CloseIdle();
+    server.mLoop.run_for(milliseconds(20));
+  }
+  server.mLoop.restart(); // it ran out of work
+  CHECK(server.ReadAll(silent).empty());
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -54,13 +54,6 @@
 // domain yet.
 constexpr auto kSettlingTime = milliseconds(1500);
 
-// The load balancer checks readiness once per second and removes a host after
-// two failed checks.
-constexpr auto kLoadBalancerRemovalTime = milliseconds(2300);
-
-// Reserved at the end of the grace period for the last writes and the exit.
-constexpr auto kExitMargin = milliseconds(700);
-
 // Part of the grace period for making recorded results durable. A write takes
 // about 10 ms, and several times that when the store is slow.
 constexpr auto kResultFlushTime = milliseconds(800);
@@ -634,17 +627,18 @@
 auto ServingDaemon::Drain() -> Task<>
 {
   const auto started = Clock::now();
-  const StopSchedule schedule{ started + kLoadBalancerRemovalTime,
-                               started + mSettings.mTerminationGrace -
-                                 kExitMargin };
+  const StopPolicy policy;
+  const auto schedule = PlanStop(policy, started, mSettings.mTerminationGrace);
   mDraining = true;
   LogEvent(Severity::Info,
            "draining",
            { { "active", absl::StrCat(mCallers.ActiveRequests()) } });
   mCallers.CloseAfterResponses();
   co_await mJobs.Drain(started + kResultFlushTime);
-  co_await DrainConnections(
-    mCallers, schedule, [this] { return UnregisterHost(); });
+  // A named object, because g++ 12 destroys a braced argument of an awaited
+  // call twice.
+  FinalCall unregister = [this] { return UnregisterHost(); };
+  co_await DrainConnections(mCallers, policy, schedule, std::move(unregister));
   const auto left = mCallers.CountConnections();
   auto fields = LogFields(left);
   fields.emplace_back(
--- a/mangovalve/serving/shutdown_test.cc
+++ b/mangovalve/serving/shutdown_test.cc
@@ -47,11 +47,14 @@
     return socket;
   }
 
-  // Starts a stop that accepts connections until aAcceptUntil.
+  // Starts a stop whose listener may close at aAcceptUntil.
   auto Stop(TimePoint aAcceptUntil, Duration aExitAfter = seconds(8)) -> void
   {
     mServer.CloseAfterResponses();
-    const StopSchedule schedule{ aAcceptUntil, Clock::now() + aExitAfter };
+    StopSchedule schedule;
+    schedule.mAcceptUntil = aAcceptUntil;
+    schedule.mCloseBy = Clock::now() + aExitAfter;
+    schedule.mExitBy = schedule.mCloseBy;
     Spawn(mLoop, RunStop(schedule));
   }
 
@@ -91,10 +94,12 @@
 private:
   auto RunStop(StopSchedule aSchedule) -> Task<>
   {
-    const FinalCall finalCall = []() -> Task<> {
+    StopPolicy policy;
+    policy.mQuietTime = Duration::zero();
+    FinalCall finalCall = []() -> Task<> {
       co_await SleepUntil(Clock::now() + kFinalCallTime);
     };
-    co_await DrainConnections(mServer, aSchedule, finalCall);
+    co_await DrainConnections(mServer, policy, aSchedule, std::move(finalCall));
     mMayExit = true;
     mLoop.stop();
   }
@@ -150,5 +155,31 @@
   CHECK(IsAnswered(StoppingServer::Received(socket)));
 }
 
+// Guards against a schedule that outlasts the grace period of the platform.
+TEST_CASE("a stop is over within any grace period")
+{
+  const StopPolicy policy;
+  const auto now = Clock::now();
+  for (const auto grace : { 0, 100, 700, 1000, 2000, 8000, 60000 }) {
+    const auto schedule = PlanStop(policy, now, milliseconds(grace));
+    CHECK(schedule.mAcceptUntil <= schedule.mCloseBy);
+    CHECK(schedule.mCloseBy <= schedule.mExitBy);
+    CHECK(schedule.mExitBy <= now + milliseconds(grace));
+    CHECK(schedule.mAcceptUntil >= now);
+  }
+}
+
+// Guards against a caller that keeps a host from stopping.
+TEST_CASE("a stop ends in time although a request never arrives whole")
+{
+  StoppingServer server;
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  const auto started = Clock::now();
+  server.Stop(started, milliseconds(400));
+  server.RunUntilExit();
+  CHECK(Clock::now() >= started + milliseconds(400));
+}
+
 } // namespace
 } // namespace mangovalve
