Close the listener of a stopping host once no connections come any more

A load balancer with too few ready hosts uses all hosts, also those that are stopping.

The listener now closes after 2.3 s without readiness and 0.4 s without a new connection, 1.2 s before the kill at the latest. A request that would not end before the exit, by twice the longest recent one of its service, and a job call that might not, is refused at once as not run, with a retry delay of zero; other requests end at the exit at the latest.

Tests: the listener's schedule in shutdown_test, 'a host that is stopping takes what ends before its exit' in state_test.

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -322,6 +322,11 @@
   }
 }
 
+auto JobService::LongestCall() const -> Duration
+{
+  return mPolicy.mOwnerWait + mPolicy.mCallTimeout + kMaxWait;
+}
+
 auto JobService::CallDeadline(const JobRequest& aJobRequest) const -> TimePoint
 {
   return Clock::now() + mPolicy.mCallTimeout +
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -72,6 +72,9 @@
   // progress of the items until the process ends.
   auto Drain(TimePoint aUntil) -> Task<>;
 
+  // Longest time from a caller's request to its response.
+  auto LongestCall() const -> Duration;
+
   JobServicePolicy mPolicy;
 
 private:
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -344,6 +344,7 @@
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> elapsed = Clock::now() - startedAt;
       UpdateDecayedMean(pool.mMeanSeconds, elapsed.count());
+      UpdateDecayedMaximum(pool.mLongestSeconds, elapsed.count());
     }
   }
   mContext.mCaller->mOnDisconnect = nullptr;
@@ -672,6 +673,14 @@
     co_return;
   }
   context.mRoute = aAdmission.mRoute;
+  context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
+  const auto timeout = std::min(
+    context.mMetadata.mCallerTimeout.value_or(context.mRoute->mTimeout),
+    context.mRoute->mTimeout);
+  if (!EndsBeforeExit(mState, context.mService, timeout, Clock::now())) {
+    co_await refuse(RefusalReason::NotReady, kStoppingRetryAfter);
+    co_return;
+  }
   const auto rate = mState.mRates.find(context.mTeam);
   const auto now = Clock::now();
   if (rate != mState.mRates.end() && !Admit(rate->second, now)) {
@@ -694,12 +703,11 @@
     team != context.mDocument->mTeams.end() && team->second.mPriority
       ? *team->second.mPriority
       : context.mRoute->mPriority;
-  context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
   context.mLastEvent = context.mMetadata.mResumeAfter;
-  const auto callerTimeout =
-    context.mMetadata.mCallerTimeout.value_or(context.mRoute->mTimeout);
-  context.mDeadline =
-    aCaller->mArrivedAt + std::min(callerTimeout, context.mRoute->mTimeout);
+  context.mDeadline = aCaller->mArrivedAt + timeout;
+  if (mState.mExitBy) {
+    context.mDeadline = std::min(context.mDeadline, *mState.mExitBy);
+  }
   RelayedRequest relayed(mState, mProtocol, mPolicy, context);
   co_await relayed.Run();
 }
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -15,6 +15,9 @@
 
 namespace mangovalve {
 
+// Retry delay given to a caller by a host that is stopping: other hosts serve.
+constexpr auto kStoppingRetryAfter = std::chrono::milliseconds(0);
+
 // Route and team of a call, or the reason for its refusal.
 struct CallAdmission
 {
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -238,12 +238,21 @@
     co_await mRelay.RefuseNotReady(aCaller, std::move(metadata));
     co_return;
   }
-  if (const auto call = mProtocol.mReadJobCall(aRequest->base())) {
+  const auto call = mProtocol.mReadJobCall(aRequest->base());
+  auto admission = CheckCall(mState.mDocument, metadata);
+  const auto submission =
+    !admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch;
+  if ((call || submission) && mState.mExitBy &&
+      Clock::now() + mJobs.LongestCall() > *mState.mExitBy) {
+    co_await aCaller->Reply(mProtocol.mRefuse(
+      RefusalReason::NotReady, metadata.mId, kStoppingRetryAfter));
+    co_return;
+  }
+  if (call) {
     co_await HandleJobCall(aCaller, *call, metadata);
     co_return;
   }
-  auto admission = CheckCall(mState.mDocument, metadata);
-  if (!admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch) {
+  if (submission) {
     co_await mJobs.ServeSubmission(
       aCaller, aRequest, admission.mTeam, std::move(metadata));
     co_return;
@@ -630,6 +639,7 @@
   const StopPolicy policy;
   const auto schedule = PlanStop(policy, started, mSettings.mTerminationGrace);
   mDraining = true;
+  mState.mExitBy = schedule.mExitBy;
   LogEvent(Severity::Info,
            "draining",
            { { "active", absl::StrCat(mCallers.ActiveRequests()) } });
--- a/mangovalve/serving/shutdown.cc
+++ b/mangovalve/serving/shutdown.cc
@@ -41,12 +41,25 @@
   return schedule;
 }
 
+auto MayCloseListener(const StopPolicy& aPolicy,
+                      const StopSchedule& aSchedule,
+                      TimePoint aLastAccepted,
+                      TimePoint aNow) -> bool
+{
+  return aNow >= aSchedule.mCloseBy ||
+         (aNow >= aSchedule.mAcceptUntil &&
+          aNow >= aLastAccepted + aPolicy.mQuietTime);
+}
+
 auto DrainConnections(AsyncHttpServer& aServer,
                       StopPolicy aPolicy,
                       StopSchedule aSchedule,
                       FinalCall aFinalCall) -> Task<>
 {
-  co_await SleepUntil(aSchedule.mAcceptUntil);
+  while (!MayCloseListener(
+    aPolicy, aSchedule, aServer.LastAccepted(), Clock::now())) {
+    co_await SleepUntil(Clock::now() + kPollInterval);
+  }
   LogEvent(
     Severity::Info, "listener_closing", LogFields(aServer.CountConnections()));
   aServer.StopAccepting();
--- a/mangovalve/serving/shutdown.h
+++ b/mangovalve/serving/shutdown.h
@@ -41,6 +41,13 @@
               TimePoint aNow,
               std::chrono::milliseconds aGrace) -> StopSchedule;
 
+// Whether the listener may close at aNow. aLastAccepted: when the newest
+// connection was accepted.
+auto MayCloseListener(const StopPolicy& aPolicy,
+                      const StopSchedule& aSchedule,
+                      TimePoint aLastAccepted,
+                      TimePoint aNow) -> bool;
+
 // Performs the last step of a stop, a call to the store.
 using FinalCall = std::function<auto()->Task<>>;
 
--- a/mangovalve/serving/shutdown_test.cc
+++ b/mangovalve/serving/shutdown_test.cc
@@ -155,6 +155,23 @@
   CHECK(IsAnswered(StoppingServer::Received(socket)));
 }
 
+// Guards against connections that are refused because a balancer with too few
+// ready hosts goes on using a host that is stopping.
+TEST_CASE("the listener closes once no connections come any more")
+{
+  const StopPolicy policy;
+  const auto now = Clock::now();
+  const auto schedule = PlanStop(policy, now, seconds(8));
+  CHECK(schedule.mAcceptUntil == now + policy.mBalancerDelay);
+  const auto later = schedule.mAcceptUntil + milliseconds(100);
+  CHECK_FALSE(MayCloseListener(policy, schedule, now, now + seconds(1)));
+  CHECK(MayCloseListener(policy, schedule, now, later));
+  CHECK_FALSE(MayCloseListener(policy, schedule, later, later));
+  CHECK(MayCloseListener(policy, schedule, later, later + policy.mQuietTime));
+  CHECK(
+    MayCloseListener(policy, schedule, schedule.mCloseBy, schedule.mCloseBy));
+}
+
 // Guards against a schedule that outlasts the grace period of the platform.
 TEST_CASE("a stop is over within any grace period")
 {
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -33,6 +33,10 @@
 // network partition or pause must not hand its share of the rates to others.
 constexpr auto kRemoveAfter = std::chrono::seconds(12);
 
+// Time that a request of a host that is stopping is given, as a multiple of the
+// longest recent one.
+constexpr double kLateRequestMargin = 2;
+
 auto UnaccountedLoad(const Endpoint& aEndpoint, TimePoint aNow) -> double
 {
   const std::chrono::duration<double> age = aNow - aEndpoint.mUnaccountedLoadAt;
@@ -252,6 +256,22 @@
   return place ? aPool.mEndpoints[*place] : nullptr;
 }
 
+auto EndsBeforeExit(const ServingState& aState,
+                    const std::string& aService,
+                    std::chrono::milliseconds aTimeout,
+                    TimePoint aNow) -> bool
+{
+  if (!aState.mExitBy) {
+    return true;
+  }
+  const auto left = *aState.mExitBy - aNow;
+  const auto pool = aState.mPools.find(aService);
+  const std::chrono::duration<double> longest(
+    pool == aState.mPools.end() ? 0 : pool->second.mLongestSeconds);
+  return left >= aTimeout ||
+         (longest.count() > 0 && left >= kLateRequestMargin * longest);
+}
+
 ScopedInFlight::ScopedInFlight(ServingState& aState,
                                EndpointPtr aEndpoint,
                                Workload aWork)
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -65,6 +65,8 @@
   std::set<QueuedRequest> mQueue;
   // Mean duration of online requests at an endpoint; 0: unknown.
   double mMeanSeconds = 0;
+  // The same of the longest recent ones.
+  double mLongestSeconds = 0;
 };
 
 // Answers that this daemon keeps at the same time until they are complete.
@@ -96,10 +98,19 @@
   std::uint64_t mNextWaiter = 0;
   PlacementPolicy mPlacement;
   HealthPolicy mHealth;
+  // When this host exits; set once it is stopping.
+  std::optional<TimePoint> mExitBy;
   CrashSuspects mSuspects;
   SuspectPolicy mSuspectPolicy;
 };
 
+// Whether a request to the service that is allowed aTimeout would have ended
+// before this host exits, judged by the longest recent requests.
+auto EndsBeforeExit(const ServingState& aState,
+                    const std::string& aService,
+                    std::chrono::milliseconds aTimeout,
+                    TimePoint aNow) -> bool;
+
 enum class Workload
 {
   Online,
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -333,5 +333,27 @@
   CHECK(place({ "e2" }) == nullptr);
 }
 
+// Guards against a late request that a host which is stopping takes and then
+// cuts, and against one that it refuses although it could serve it.
+TEST_CASE("a host that is stopping takes what ends before its exit")
+{
+  asio::io_context loop;
+  ServingState state(loop);
+  const auto now = Clock::now();
+  const auto ends = [&](milliseconds aTimeout) {
+    return EndsBeforeExit(state, "llm", aTimeout, now);
+  };
+  CHECK(ends(milliseconds(60000)));
+  state.mExitBy = now + milliseconds(2000);
+  CHECK(ends(milliseconds(2000)));
+  CHECK_FALSE(ends(milliseconds(2001))); // nothing is known of the service
+  state.mPools["llm"].mLongestSeconds = 0.9;
+  CHECK(ends(milliseconds(5000)));
+  state.mPools["llm"].mLongestSeconds = 1.1;
+  CHECK_FALSE(ends(milliseconds(5000)));
+  state.mExitBy = now - milliseconds(1);
+  CHECK_FALSE(ends(milliseconds(5000)));
+}
+
 } // namespace
 } // namespace mangovalve
