Attribute crashes to parts of prompts

A part that crashes every endpoint that begins to answer a request with it could be sent again and again: nothing connected the crashes with what the requests had in common.

The quarantines are found from all retained evidence each time some of it arrives, so that hosts with the same evidence agree whatever its order.

--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -1,49 +1,502 @@
 // Attribution of endpoint crashes to parts of prompts.
+//
+// The quarantines are found from all retained evidence each time some of it
+// arrives, so that they don't depend on its order. The part that occurs in the
+// most crashes is taken first, and explains them; other requests that were at
+// the same endpoints are then no evidence against their own parts.
 #include "mangovalve/routing/crash_suspects.h"
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+
 namespace mangovalve {
+namespace {
+
+// The time of a start that has not been seen.
+constexpr auto kNever = TimePoint::min();
 
-auto RecordCrash(CrashSuspects& /*aSuspects*/,
-                 CrashedRun /*aRun*/,
-                 const SuspectPolicy& /*aPolicy*/,
-                 TimePoint /*aNow*/) -> std::vector<Quarantine>
+// Parts of a run above this number are ignored.
+constexpr std::size_t kMaxParts = 32;
+
+// Counts crashes of runs that are visited in the order of time.
+struct CrashCount
 {
-  return {};
+  std::size_t mCrashes = 0;
+  std::size_t mRuns = 0;
+  TimePoint mCrashAt{}; // first run of the last crash; undefined if none
+};
+
+auto Count(CrashCount& aCount, TimePoint aAt, const SuspectPolicy& aPolicy)
+  -> void
+{
+  if (aCount.mCrashes == 0 || aAt - aCount.mCrashAt > aPolicy.mSameCrash) {
+    ++aCount.mCrashes;
+    aCount.mCrashAt = aAt;
+  }
+  ++aCount.mRuns;
 }
 
-auto RecordStart(CrashSuspects& /*aSuspects*/,
-                 std::span<const PartHash> /*aParts*/,
-                 TimePoint /*aAt*/) -> void
+auto Normalize(PartSet& aParts) -> void
 {
+  std::sort(aParts.begin(), aParts.end());
+  aParts.erase(std::unique(aParts.begin(), aParts.end()), aParts.end());
 }
 
-auto AdoptQuarantine(CrashSuspects& /*aSuspects*/,
-                     Quarantine /*aQuarantine*/,
-                     const SuspectPolicy& /*aPolicy*/,
-                     TimePoint /*aNow*/) -> bool
+auto IsSubset(const PartSet& aSubset, const PartSet& aParts) -> bool
 {
-  return false;
+  return std::includes(
+    aParts.begin(), aParts.end(), aSubset.begin(), aSubset.end());
 }
 
-auto IsQuarantined(const CrashSuspects& /*aSuspects*/,
-                   std::span<const PartHash> /*aParts*/,
-                   TimePoint /*aNow*/) -> bool
+// Like IsSubset, for parts in any order.
+auto ContainsAll(std::span<const PartHash> aParts, const PartSet& aSubset)
+  -> bool
 {
-  return false;
+  return std::all_of(aSubset.begin(), aSubset.end(), [&](PartHash aPart) {
+    return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+  });
+}
+
+auto LastStart(const CrashSuspects& aSuspects, PartHash aPart) -> TimePoint
+{
+  const auto start = aSuspects.mStarts.find(aPart);
+  return start == aSuspects.mStarts.end() ? kNever : start->second;
+}
+
+// For each run whether it is explained: whether it, or another run of the same
+// crash, contains one of the quarantined sets.
+using Explained = std::vector<bool>;
+
+auto MarkExplained(const CrashSuspects& aSuspects,
+                   const PartSet& aParts,
+                   const SuspectPolicy& aPolicy,
+                   Explained& aExplained) -> void
+{
+  const auto& runs = aSuspects.mRuns;
+  std::size_t next = 0; // the runs before are marked or too old for what comes
+  for (const auto& cause : runs) {
+    if (!IsSubset(aParts, cause.mParts)) {
+      continue;
+    }
+    while (next < runs.size() &&
+           runs[next].mAt <= cause.mAt + aPolicy.mSameCrash) {
+      if (runs[next].mAt >= cause.mAt - aPolicy.mSameCrash) {
+        aExplained[next] = true;
+      }
+      ++next;
+    }
+  }
+}
+
+auto ExplainedBy(const CrashSuspects& aSuspects,
+                 const std::vector<Quarantine>& aQuarantines,
+                 const SuspectPolicy& aPolicy) -> Explained
+{
+  Explained explained(aSuspects.mRuns.size());
+  for (const auto& quarantine : aQuarantines) {
+    MarkExplained(aSuspects, quarantine.mParts, aPolicy, explained);
+  }
+  return explained;
+}
+
+// The runs that are evidence against the part, in the order of time.
+auto EvidenceAgainst(const CrashSuspects& aSuspects,
+                     PartHash aPart,
+                     const Explained& aExplained)
+  -> std::vector<const CrashedRun*>
+{
+  std::vector<const CrashedRun*> evidence;
+  const auto start = LastStart(aSuspects, aPart);
+  for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
+    const auto& run = aSuspects.mRuns[i];
+    if (!aExplained[i] && run.mAt > start &&
+        std::binary_search(run.mParts.begin(), run.mParts.end(), aPart)) {
+      evidence.push_back(&run);
+    }
+  }
+  return evidence;
+}
+
+// The parts that all of these runs have in common and that have not been
+// cleared since the first of them. The evidence must not be empty.
+auto JointParts(const CrashSuspects& aSuspects,
+                const std::vector<const CrashedRun*>& aEvidence) -> PartSet
+{
+  auto parts = aEvidence.front()->mParts;
+  std::erase_if(parts, [&](PartHash aPart) {
+    return LastStart(aSuspects, aPart) >= aEvidence.front()->mAt ||
+           !std::all_of(
+             aEvidence.begin(), aEvidence.end(), [&](const CrashedRun* aRun) {
+               return std::binary_search(
+                 aRun->mParts.begin(), aRun->mParts.end(), aPart);
+             });
+  });
+  return parts;
+}
+
+// The part with the most unexplained crashes, if they suffice for a quarantine.
+// Among several the one in the fewest runs: a popular part is at most endpoints
+// at any time.
+auto LikeliestCause(const CrashSuspects& aSuspects,
+                    const Explained& aExplained,
+                    const SuspectPolicy& aPolicy) -> std::optional<PartHash>
+{
+  absl::flat_hash_map<PartHash, CrashCount> counts;
+  for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
+    if (aExplained[i]) {
+      continue;
+    }
+    const auto& run = aSuspects.mRuns[i];
+    for (const auto part : run.mParts) {
+      if (run.mAt > LastStart(aSuspects, part)) {
+        Count(counts[part], run.mAt, aPolicy);
+      }
+    }
+  }
+  const auto likelier = [](const auto& aLeft, const auto& aRight) {
+    const auto& [leftPart, left] = aLeft;
+    const auto& [rightPart, right] = aRight;
+    if (left.mCrashes != right.mCrashes) {
+      return left.mCrashes > right.mCrashes;
+    }
+    return std::pair(left.mRuns, leftPart) < std::pair(right.mRuns, rightPart);
+  };
+  const auto likeliest =
+    std::min_element(counts.begin(), counts.end(), likelier);
+  if (likeliest == counts.end() ||
+      likeliest->second.mCrashes < aPolicy.mCrashesToQuarantine) {
+    return std::nullopt;
+  }
+  return likeliest->first;
+}
+
+// The quarantines that follow from the evidence, and the runs they explain.
+struct Attribution
+{
+  std::vector<Quarantine> mQuarantines;
+  Explained mExplained;
+};
+
+auto Attribute(const CrashSuspects& aSuspects, const SuspectPolicy& aPolicy)
+  -> Attribution
+{
+  std::vector<Quarantine> quarantines;
+  Explained explained(aSuspects.mRuns.size());
+  while (quarantines.size() < aPolicy.mMaxQuarantines) {
+    const auto part = LikeliestCause(aSuspects, explained, aPolicy);
+    if (!part) {
+      break;
+    }
+    const auto evidence = EvidenceAgainst(aSuspects, *part, explained);
+    quarantines.push_back(
+      { .mParts = JointParts(aSuspects, evidence),
+        .mSince = evidence.front()->mAt,
+        .mUntil = evidence.back()->mAt + aPolicy.mQuarantine });
+    MarkExplained(aSuspects, quarantines.back().mParts, aPolicy, explained);
+  }
+  return { std::move(quarantines), std::move(explained) };
+}
+
+// Whether one of the quarantined sets is a subset of the parts.
+auto ContainsAny(const PartSet& aParts,
+                 const std::vector<Quarantine>& aQuarantines) -> bool
+{
+  return std::any_of(aQuarantines.begin(),
+                     aQuarantines.end(),
+                     [&](const Quarantine& aQuarantine) {
+                       return IsSubset(aQuarantine.mParts, aParts);
+                     });
 }
 
-auto IsSuspected(const CrashSuspects& /*aSuspects*/,
-                 std::span<const PartHash> /*aParts*/,
-                 const SuspectPolicy& /*aPolicy*/,
-                 TimePoint /*aNow*/) -> bool
+// Whether the evidence that would suffice for the quarantine is explained by
+// the attributed ones, so that its parts were only present at the crashes.
+auto IsRefuted(const CrashSuspects& aSuspects,
+               const Quarantine& aQuarantine,
+               const Attribution& aAttribution,
+               const SuspectPolicy& aPolicy) -> bool
 {
+  CrashCount all;
+  CrashCount unexplained;
+  auto withoutCause = false;
+  for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
+    const auto& run = aSuspects.mRuns[i];
+    if (!IsSubset(aQuarantine.mParts, run.mParts)) {
+      continue;
+    }
+    Count(all, run.mAt, aPolicy);
+    if (!aAttribution.mExplained[i]) {
+      Count(unexplained, run.mAt, aPolicy);
+    }
+    withoutCause =
+      withoutCause || !ContainsAny(run.mParts, aAttribution.mQuarantines);
+  }
+  return withoutCause && all.mCrashes >= aPolicy.mCrashesToQuarantine &&
+         unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+}
+
+// Removes quarantines whose set has a subset among the others.
+auto RemoveSupersets(std::vector<Quarantine>& aQuarantines) -> void
+{
+  std::stable_sort(aQuarantines.begin(),
+                   aQuarantines.end(),
+                   [](const Quarantine& aLeft, const Quarantine& aRight) {
+                     return aLeft.mParts.size() < aRight.mParts.size();
+                   });
+  std::vector<Quarantine> minimal;
+  for (auto& quarantine : aQuarantines) {
+    if (!ContainsAny(quarantine.mParts, minimal)) {
+      minimal.push_back(std::move(quarantine));
+    }
+  }
+  aQuarantines = std::move(minimal);
+}
+
+// Prolongs a known quarantine of this set or of a subset. Returns whether there
+// is one.
+auto Prolong(CrashSuspects& aSuspects,
+             const Quarantine& aQuarantine,
+             const SuspectPolicy& aPolicy) -> bool
+{
+  for (auto& known : aSuspects.mQuarantines) {
+    if (IsSubset(known.mParts, aQuarantine.mParts)) {
+      // Copies differ a little in time. They must not prolong each other.
+      if (aQuarantine.mUntil > known.mUntil + aPolicy.mSameCrash) {
+        known.mUntil = aQuarantine.mUntil;
+      }
+      return true;
+    }
+  }
   return false;
 }
 
-auto ForgetExpired(CrashSuspects& /*aSuspects*/,
-                   const SuspectPolicy& /*aPolicy*/,
-                   TimePoint /*aNow*/) -> void
+// Returns whether the quarantine is new.
+auto Insert(CrashSuspects& aSuspects,
+            Quarantine aQuarantine,
+            const SuspectPolicy& aPolicy) -> bool
+{
+  if (Prolong(aSuspects, aQuarantine, aPolicy)) {
+    return false;
+  }
+  auto& quarantines = aSuspects.mQuarantines;
+  for (const auto part : aQuarantine.mParts) {
+    aSuspects.mStarts.try_emplace(part, kNever);
+  }
+  quarantines.push_back(std::move(aQuarantine));
+  RemoveSupersets(quarantines);
+  if (quarantines.size() > aPolicy.mMaxQuarantines) {
+    quarantines.erase(
+      std::min_element(quarantines.begin(),
+                       quarantines.end(),
+                       [](const Quarantine& aLeft, const Quarantine& aRight) {
+                         return aLeft.mUntil < aRight.mUntil;
+                       }));
+  }
+  return true;
+}
+
+auto ForgetQuarantines(CrashSuspects& aSuspects, TimePoint aNow) -> void
+{
+  std::erase_if(aSuspects.mQuarantines, [&](const Quarantine& aQuarantine) {
+    return aQuarantine.mUntil <= aNow;
+  });
+}
+
+// Forgets the starts of parts that are neither in evidence nor in quarantine,
+// except for the last ones: late copies of a quarantine must not revive it.
+auto ForgetStarts(CrashSuspects& aSuspects,
+                  const SuspectPolicy& aPolicy,
+                  TimePoint aNow) -> void
+{
+  absl::flat_hash_set<PartHash> watched;
+  for (const auto& run : aSuspects.mRuns) {
+    watched.insert(run.mParts.begin(), run.mParts.end());
+  }
+  for (const auto& quarantine : aSuspects.mQuarantines) {
+    watched.insert(quarantine.mParts.begin(), quarantine.mParts.end());
+  }
+  std::vector<TimePoint> unwatched;
+  for (const auto& [part, start] : aSuspects.mStarts) {
+    if (!watched.contains(part)) {
+      unwatched.push_back(start);
+    }
+  }
+  auto oldest = aNow - aPolicy.mQuarantine;
+  if (unwatched.size() > aPolicy.mMaxRuns) {
+    const auto kept =
+      unwatched.end() - static_cast<std::ptrdiff_t>(aPolicy.mMaxRuns);
+    std::nth_element(unwatched.begin(), kept, unwatched.end());
+    // Starts at the same time are forgotten together.
+    oldest = std::max(oldest, *kept + Duration(1));
+  }
+  absl::erase_if(aSuspects.mStarts, [&](const auto& aStart) {
+    return aStart.second < oldest && !watched.contains(aStart.first);
+  });
+}
+
+// Inserts the run in the order of time. Returns whether it is new evidence.
+auto InsertRun(CrashSuspects& aSuspects,
+               CrashedRun aRun,
+               const SuspectPolicy& aPolicy) -> bool
+{
+  auto& runs = aSuspects.mRuns;
+  if (std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& aKnown) {
+        return aKnown.mId == aRun.mId;
+      })) {
+    return false;
+  }
+  if (runs.size() >= aPolicy.mMaxRuns) {
+    if (runs.empty() || aRun.mAt <= runs.front().mAt) {
+      return false;
+    }
+    runs.pop_front();
+  }
+  for (const auto part : aRun.mParts) {
+    aSuspects.mStarts.try_emplace(part, kNever);
+  }
+  const auto later = std::upper_bound(
+    runs.begin(),
+    runs.end(),
+    aRun.mAt,
+    [](TimePoint aAt, const CrashedRun& aKnown) { return aAt < aKnown.mAt; });
+  runs.insert(later, std::move(aRun));
+  return true;
+}
+
+} // namespace
+
+auto RecordCrash(CrashSuspects& aSuspects,
+                 CrashedRun aRun,
+                 const SuspectPolicy& aPolicy,
+                 TimePoint aNow) -> std::vector<Quarantine>
+{
+  ForgetExpired(aSuspects, aPolicy, aNow);
+  aRun.mAt = std::min(aRun.mAt, aNow);
+  Normalize(aRun.mParts);
+  aRun.mParts.resize(std::min(aRun.mParts.size(), kMaxParts));
+  if (aRun.mParts.empty() || aNow - aRun.mAt >= aPolicy.mRetention ||
+      !InsertRun(aSuspects, std::move(aRun), aPolicy)) {
+    return {};
+  }
+  const auto attribution = Attribute(aSuspects, aPolicy);
+  std::erase_if(aSuspects.mQuarantines, [&](const Quarantine& aKnown) {
+    return IsRefuted(aSuspects, aKnown, attribution, aPolicy);
+  });
+  std::vector<Quarantine> added;
+  for (const auto& quarantine : attribution.mQuarantines) {
+    if (quarantine.mUntil > aNow && Insert(aSuspects, quarantine, aPolicy)) {
+      added.push_back(quarantine);
+    }
+  }
+  return added;
+}
+
+auto RecordStart(CrashSuspects& aSuspects,
+                 std::span<const PartHash> aParts,
+                 TimePoint aAt) -> void
+{
+  if (aSuspects.mStarts.empty()) {
+    return;
+  }
+  auto watched = false;
+  for (const auto part : aParts) {
+    const auto start = aSuspects.mStarts.find(part);
+    if (start != aSuspects.mStarts.end()) {
+      start->second = std::max(start->second, aAt);
+      watched = true;
+    }
+  }
+  if (!watched || aSuspects.mQuarantines.empty()) {
+    return;
+  }
+  for (auto& quarantine : aSuspects.mQuarantines) {
+    if (quarantine.mSince <= aAt) {
+      std::erase_if(quarantine.mParts, [&](PartHash aPart) {
+        return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+      });
+    }
+  }
+  std::erase_if(aSuspects.mQuarantines, [](const Quarantine& aQuarantine) {
+    return aQuarantine.mParts.empty();
+  });
+  RemoveSupersets(aSuspects.mQuarantines);
+}
+
+auto AdoptQuarantine(CrashSuspects& aSuspects,
+                     Quarantine aQuarantine,
+                     const SuspectPolicy& aPolicy,
+                     TimePoint aNow) -> bool
+{
+  Normalize(aQuarantine.mParts);
+  aQuarantine.mSince = std::min(aQuarantine.mSince, aNow);
+  aQuarantine.mUntil = std::min(aQuarantine.mUntil, aNow + aPolicy.mQuarantine);
+  std::erase_if(aQuarantine.mParts, [&](PartHash aPart) {
+    // The time of a copy is a little uncertain.
+    return LastStart(aSuspects, aPart) >=
+           aQuarantine.mSince - aPolicy.mSameCrash;
+  });
+  // A set with too many parts must not be cut: it would refuse more requests.
+  if (aQuarantine.mParts.empty() || aQuarantine.mParts.size() > kMaxParts ||
+      aQuarantine.mUntil <= aNow) {
+    return false;
+  }
+  ForgetQuarantines(aSuspects, aNow);
+  if (Prolong(aSuspects, aQuarantine, aPolicy) ||
+      IsRefuted(
+        aSuspects, aQuarantine, Attribute(aSuspects, aPolicy), aPolicy)) {
+    return false;
+  }
+  return Insert(aSuspects, std::move(aQuarantine), aPolicy);
+}
+
+auto IsQuarantined(const CrashSuspects& aSuspects,
+                   std::span<const PartHash> aParts,
+                   TimePoint aNow) -> bool
+{
+  return std::any_of(aSuspects.mQuarantines.begin(),
+                     aSuspects.mQuarantines.end(),
+                     [&](const Quarantine& aQuarantine) {
+                       return aQuarantine.mUntil > aNow &&
+                              ContainsAll(aParts, aQuarantine.mParts);
+                     });
+}
+
+auto IsSuspected(const CrashSuspects& aSuspects,
+                 std::span<const PartHash> aParts,
+                 const SuspectPolicy& aPolicy,
+                 TimePoint aNow) -> bool
+{
+  if (IsQuarantined(aSuspects, aParts, aNow)) {
+    return true;
+  }
+  if (aSuspects.mRuns.empty()) {
+    return false;
+  }
+  const auto explained =
+    ExplainedBy(aSuspects, aSuspects.mQuarantines, aPolicy);
+  return std::any_of(aParts.begin(), aParts.end(), [&](PartHash aPart) {
+    CrashCount count;
+    const auto evidence = EvidenceAgainst(aSuspects, aPart, explained);
+    for (const auto* const run : evidence) {
+      Count(count, run->mAt, aPolicy);
+    }
+    return count.mCrashes > 0 && count.mCrashes >= aPolicy.mCrashesToSuspect &&
+           ContainsAll(aParts, JointParts(aSuspects, evidence));
+  });
+}
+
+auto ForgetExpired(CrashSuspects& aSuspects,
+                   const SuspectPolicy& aPolicy,
+                   TimePoint aNow) -> void
 {
+  auto& runs = aSuspects.mRuns;
+  while (!runs.empty() && aNow - runs.front().mAt >= aPolicy.mRetention) {
+    runs.pop_front();
+  }
+  ForgetQuarantines(aSuspects, aNow);
+  ForgetStarts(aSuspects, aPolicy, aNow);
 }
 
 } // namespace mangovalve
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -42,6 +42,7 @@
 struct Quarantine
 {
   PartSet mParts; // never empty
+  // The first crash. An answer that began later clears its parts.
   TimePoint mSince{};
   TimePoint mUntil{};
 };
@@ -64,14 +65,16 @@
 struct CrashSuspects
 {
   std::deque<CrashedRun> mRuns; // ordered by mAt; mId is unique
-  // When an endpoint last began to answer a request with the part; only for
-  // parts in mRuns and mQuarantines.
+  // When an endpoint last began to answer a request with the part, or
+  // TimePoint::min(). Has all parts in mRuns and mQuarantines, and at most
+  // SuspectPolicy::mMaxRuns others that were there before.
   absl::flat_hash_map<PartHash, TimePoint> mStarts;
   std::vector<Quarantine> mQuarantines; // no set is a subset of another one
 };
 
-// Records a crashed run of this or another host, and quarantines parts with
-// enough evidence. Returns the new quarantines. A known run has no effect.
+// Records a crashed run of this or another host, quarantines parts with enough
+// evidence, and ends quarantines that the evidence refutes. Returns the new
+// quarantines. A known run has no effect.
 auto RecordCrash(CrashSuspects& aSuspects,
                  CrashedRun aRun,
                  const SuspectPolicy& aPolicy,
@@ -83,8 +86,9 @@
                  std::span<const PartHash> aParts,
                  TimePoint aAt) -> void;
 
-// Adopts a quarantine of another host, unless one of its parts has been cleared
-// since. Returns whether it is new here.
+// Adopts a quarantine of another host, without the parts that have been cleared
+// since, unless the evidence refutes it. The other host's evidence should be
+// recorded before. Returns whether the quarantine is new here.
 auto AdoptQuarantine(CrashSuspects& aSuspects,
                      Quarantine aQuarantine,
                      const SuspectPolicy& aPolicy,
