Known evidence is recorded at no cost

Hosts repeat their evidence in each report. A known run is now recognized before anything is expired, and refutation needs one attributed set that covers all runs with the quarantined one (with several, the result depended on the order of evidence: property test, [5] [7] [11] against [5] [7]).

--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -211,6 +211,25 @@
                      });
 }
 
+// Whether all runs with the quarantined set contain one larger attributed set.
+// The attribution can't tell the two apart; another host's evidence may.
+auto IsPartOfCause(const CrashSuspects& aSuspects,
+                   const Quarantine& aQuarantine,
+                   const Attribution& aAttribution) -> bool
+{
+  const auto& causes = aAttribution.mQuarantines;
+  return std::any_of(
+    causes.begin(), causes.end(), [&](const Quarantine& aCause) {
+      return IsSubset(aQuarantine.mParts, aCause.mParts) &&
+             std::all_of(aSuspects.mRuns.begin(),
+                         aSuspects.mRuns.end(),
+                         [&](const CrashedRun& aRun) {
+                           return !IsSubset(aQuarantine.mParts, aRun.mParts) ||
+                                  IsSubset(aCause.mParts, aRun.mParts);
+                         });
+    });
+}
+
 // Whether the evidence that would suffice for the quarantine is explained by
 // the attributed ones, so that its parts were only present at the crashes.
 auto IsRefuted(const CrashSuspects& aSuspects,
@@ -220,7 +239,6 @@
 {
   CrashCount all;
   CrashCount unexplained;
-  auto withoutCause = false;
   for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
     const auto& run = aSuspects.mRuns[i];
     if (!IsSubset(aQuarantine.mParts, run.mParts)) {
@@ -230,11 +248,10 @@
     if (!aAttribution.mExplained[i]) {
       Count(unexplained, run.mAt, aPolicy);
     }
-    withoutCause =
-      withoutCause || !ContainsAny(run.mParts, aAttribution.mQuarantines);
   }
-  return withoutCause && all.mCrashes >= aPolicy.mCrashesToQuarantine &&
-         unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+  return all.mCrashes >= aPolicy.mCrashesToQuarantine &&
+         unexplained.mCrashes < aPolicy.mCrashesToQuarantine &&
+         !IsPartOfCause(aSuspects, aQuarantine, aAttribution);
 }
 
 // Removes quarantines whose set has a subset among the others.
@@ -336,21 +353,28 @@
   });
 }
 
-// Inserts the run in the order of time. Returns whether it is new evidence.
+// Whether the run is no evidence that is new here. Runs that are older than
+// all others when there is no space have been forgotten already.
+auto IsKnownOrForgotten(const CrashSuspects& aSuspects,
+                        const CrashedRun& aRun,
+                        const SuspectPolicy& aPolicy,
+                        TimePoint aNow) -> bool
+{
+  const auto& runs = aSuspects.mRuns;
+  return aNow - aRun.mAt >= aPolicy.mRetention || aPolicy.mMaxRuns == 0 ||
+         (runs.size() >= aPolicy.mMaxRuns && aRun.mAt <= runs.front().mAt) ||
+         std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& aKnown) {
+           return aKnown.mId == aRun.mId;
+         });
+}
+
+// Inserts the run in the order of time.
 auto InsertRun(CrashSuspects& aSuspects,
                CrashedRun aRun,
-               const SuspectPolicy& aPolicy) -> bool
+               const SuspectPolicy& aPolicy) -> void
 {
   auto& runs = aSuspects.mRuns;
-  if (std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& aKnown) {
-        return aKnown.mId == aRun.mId;
-      })) {
-    return false;
-  }
   if (runs.size() >= aPolicy.mMaxRuns) {
-    if (runs.empty() || aRun.mAt <= runs.front().mAt) {
-      return false;
-    }
     runs.pop_front();
   }
   for (const auto part : aRun.mParts) {
@@ -362,7 +386,6 @@
     aRun.mAt,
     [](TimePoint aAt, const CrashedRun& aKnown) { return aAt < aKnown.mAt; });
   runs.insert(later, std::move(aRun));
-  return true;
 }
 
 } // namespace
@@ -372,14 +395,15 @@
                  const SuspectPolicy& aPolicy,
                  TimePoint aNow) -> std::vector<Quarantine>
 {
-  ForgetExpired(aSuspects, aPolicy, aNow);
   aRun.mAt = std::min(aRun.mAt, aNow);
-  Normalize(aRun.mParts);
-  aRun.mParts.resize(std::min(aRun.mParts.size(), kMaxParts));
-  if (aRun.mParts.empty() || aNow - aRun.mAt >= aPolicy.mRetention ||
-      !InsertRun(aSuspects, std::move(aRun), aPolicy)) {
+  if (aRun.mParts.empty() ||
+      IsKnownOrForgotten(aSuspects, aRun, aPolicy, aNow)) {
     return {};
   }
+  Normalize(aRun.mParts);
+  aRun.mParts.resize(std::min(aRun.mParts.size(), kMaxParts));
+  ForgetExpired(aSuspects, aPolicy, aNow);
+  InsertRun(aSuspects, std::move(aRun), aPolicy);
   const auto attribution = Attribute(aSuspects, aPolicy);
   std::erase_if(aSuspects.mQuarantines, [&](const Quarantine& aKnown) {
     return IsRefuted(aSuspects, aKnown, attribution, aPolicy);
