Exchange evidence on crashed endpoints between hosts

Callers would see a part that crashes endpoints refused only by hosts that saw enough crashes themselves: each host sees its own requests only, so every host of every domain would send the part again until it has evidence of its own.

Load reports, domain summaries and state copies now contain crashed runs, starts that clear parts, and quarantines, all as ages, from whichever host they came. Runs and starts are sent for 2 s after they became known, and again when a silent peer or domain is heard; quarantines as long as they last. A start is announced only if it clears its part of a run, since popular parts start many times a second. Quarantines that end within 2 s are not sent, so that delayed copies don't keep each other alive. Reports are compared without ages and quarantines, so an idle fleet keeps its interval of 400 ms; a crash is news and makes reports urgent. What arrives is cut to the sender's limits and sorted. The fields are the last ones of their tables; older hosts pass over them.

The fuzzer's report and summary targets carry evidence; it was not run.

--- a/fuzz/parsers_fuzz.cc
+++ b/fuzz/parsers_fuzz.cc
@@ -15,6 +15,7 @@
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/peer/state_copy_generated.h"
 #include "mangovalve/serving/fleet_load.h"
+#include "mangovalve/serving/suspect_exchange.h"
 #include "platform/document.h"
 #include "platform/messages.h"
 #include "platform/store.h"
@@ -167,24 +168,39 @@
   return metadata.mId.size() <= aBytes.size();
 }
 
+// Returns whether memory stays bounded.
+auto AppliesEvidence(const wire::CrashEvidenceT* aEvidence) -> bool
+{
+  const SuspectPolicy policy;
+  CrashSuspects suspects;
+  if (aEvidence != nullptr) {
+    ApplyEvidence(suspects, policy, *aEvidence, "host", TimePoint{});
+  }
+  return suspects.mRuns.size() <= kMaxRunsSent &&
+         suspects.mQuarantines.size() <= policy.mMaxQuarantines;
+}
+
 auto AppliesReport(const std::string& aBytes) -> bool
 {
   const auto* data = reinterpret_cast<const std::uint8_t*>(aBytes.data());
   FleetLoad fleet;
+  auto bounded = true;
   flatbuffers::Verifier verifier(data, aBytes.size());
   if (wire::VerifyLoadReportBuffer(verifier)) {
     wire::LoadReportT report;
     wire::GetLoadReport(data)->UnPackTo(&report);
+    bounded = AppliesEvidence(report.evidence.get());
     ApplyReport(fleet, std::move(report), TimePoint{});
   }
   flatbuffers::Verifier summaryVerifier(data, aBytes.size());
   if (wire::VerifyDomainSummaryBuffer(summaryVerifier)) {
     wire::DomainSummaryT summary;
     wire::GetDomainSummary(data)->UnPackTo(&summary);
+    bounded = bounded && AppliesEvidence(summary.evidence.get());
     ApplySummary(fleet, std::move(summary), "own", TimePoint{});
   }
   MarkUnresponsive(fleet, TimePoint::max());
-  return fleet.mInFlight.empty() && fleet.mWaiting.empty();
+  return bounded && fleet.mInFlight.empty() && fleet.mWaiting.empty();
 }
 
 auto CopiesState(const std::string& aBytes) -> bool
@@ -193,6 +209,23 @@
   return !copy || copy->document.size() <= aBytes.size();
 }
 
+auto Evidence() -> std::unique_ptr<wire::CrashEvidenceT>
+{
+  auto evidence = std::make_unique<wire::CrashEvidenceT>();
+  auto& run =
+    evidence->runs.emplace_back(std::make_unique<wire::CrashedRunCopyT>());
+  run->id = 1;
+  run->age_ms = 2;
+  run->parts = { 3, 4 };
+  evidence->starts.emplace_back(4, 1);
+  auto& quarantine = evidence->quarantines.emplace_back(
+    std::make_unique<wire::QuarantineCopyT>());
+  quarantine->parts = { 5, 6 };
+  quarantine->age_ms = 7;
+  quarantine->remaining_ms = 80000;
+  return evidence;
+}
+
 auto PackedReport() -> std::string
 {
   wire::LoadReportT report;
@@ -202,6 +235,7 @@
   report.queues.emplace_back(4, 5);
   report.teams.emplace_back(6, 7, 8);
   report.partitions.emplace_back(9, 10);
+  report.evidence = Evidence();
   flatbuffers::FlatBufferBuilder builder;
   wire::FinishLoadReportBuffer(builder,
                                wire::LoadReport::Pack(builder, &report));
@@ -218,6 +252,7 @@
   summary.endpoints.emplace_back(1, 2, 3);
   summary.teams.emplace_back(6, 7, 8);
   summary.partitions.emplace_back(9, 10, 1);
+  summary.evidence = Evidence();
   flatbuffers::FlatBufferBuilder builder;
   wire::FinishDomainSummaryBuffer(builder,
                                   wire::DomainSummary::Pack(builder, &summary));
--- a/mangovalve/peer/domain_summary_generated.h
+++ b/mangovalve/peer/domain_summary_generated.h
@@ -70,6 +70,11 @@
   std::vector<mangovalve::wire::ServiceQueue> queues{};
   std::vector<mangovalve::wire::TeamUse> teams{};
   std::vector<mangovalve::wire::PartitionHost> partitions{};
+  std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
+  DomainSummaryT() = default;
+  DomainSummaryT(const DomainSummaryT &o);
+  DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
+  DomainSummaryT &operator=(DomainSummaryT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct DomainSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -86,7 +91,8 @@
     VT_ENDPOINTS = 16,
     VT_QUEUES = 18,
     VT_TEAMS = 20,
-    VT_PARTITIONS = 22
+    VT_PARTITIONS = 22,
+    VT_EVIDENCE = 24
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -118,6 +124,9 @@
   const flatbuffers::Vector<const mangovalve::wire::PartitionHost *> *partitions() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::PartitionHost *> *>(VT_PARTITIONS);
   }
+  const mangovalve::wire::CrashEvidence *evidence() const {
+    return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -138,6 +147,8 @@
            verifier.VerifyVector(teams()) &&
            VerifyOffset(verifier, VT_PARTITIONS) &&
            verifier.VerifyVector(partitions()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyTable(evidence()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -179,6 +190,9 @@
   void add_partitions(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionHost *>> partitions) {
     fbb_.AddOffset(DomainSummary::VT_PARTITIONS, partitions);
   }
+  void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
+    fbb_.AddOffset(DomainSummary::VT_EVIDENCE, evidence);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -203,11 +217,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointUse *>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionHost *>> partitions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionHost *>> partitions = 0,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
   builder_.add_teams(teams);
   builder_.add_queues(queues);
@@ -234,7 +250,8 @@
     const std::vector<mangovalve::wire::EndpointUse> *endpoints = nullptr,
     const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
-    const std::vector<mangovalve::wire::PartitionHost> *partitions = nullptr) {
+    const std::vector<mangovalve::wire::PartitionHost> *partitions = nullptr,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
@@ -253,11 +270,41 @@
       endpoints__,
       queues__,
       teams__,
-      partitions__);
+      partitions__,
+      evidence);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline DomainSummaryT::DomainSummaryT(const DomainSummaryT &o)
+      : host(o.host),
+        domain(o.domain),
+        incarnation(o.incarnation),
+        sequence(o.sequence),
+        document(o.document),
+        hosts(o.hosts),
+        endpoints(o.endpoints),
+        queues(o.queues),
+        teams(o.teams),
+        partitions(o.partitions),
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
+}
+
+inline DomainSummaryT &DomainSummaryT::operator=(DomainSummaryT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(host, o.host);
+  std::swap(domain, o.domain);
+  std::swap(incarnation, o.incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(document, o.document);
+  std::swap(hosts, o.hosts);
+  std::swap(endpoints, o.endpoints);
+  std::swap(queues, o.queues);
+  std::swap(teams, o.teams);
+  std::swap(partitions, o.partitions);
+  std::swap(evidence, o.evidence);
+  return *this;
+}
+
 inline DomainSummaryT *DomainSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DomainSummaryT>();
   UnPackTo(_o.get(), _resolver);
@@ -277,6 +324,7 @@
   { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = *_e->Get(_i); } } }
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
+  { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -297,6 +345,7 @@
   auto _queues = _o->queues.size() ? _fbb.CreateVectorOfStructs(_o->queues) : 0;
   auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
+  auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       _host,
@@ -308,7 +357,8 @@
       _endpoints,
       _queues,
       _teams,
-      _partitions);
+      _partitions,
+      _evidence);
 }
 
 inline const mangovalve::wire::DomainSummary *GetDomainSummary(const void *buf) {
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -13,6 +13,8 @@
               FLATBUFFERS_VERSION_REVISION == 8,
              "Non-compatible flatbuffers version included");
 
+#include "crash_evidence_generated.h"
+
 namespace mangovalve {
 namespace wire {
 
@@ -178,6 +180,11 @@
   std::vector<mangovalve::wire::ServiceQueue> queues{};
   std::vector<mangovalve::wire::TeamUse> teams{};
   std::vector<mangovalve::wire::PartitionOwner> partitions{};
+  std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
+  LoadReportT() = default;
+  LoadReportT(const LoadReportT &o);
+  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -193,7 +200,8 @@
     VT_ENDPOINTS = 14,
     VT_QUEUES = 16,
     VT_TEAMS = 18,
-    VT_PARTITIONS = 20
+    VT_PARTITIONS = 20,
+    VT_EVIDENCE = 22
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -222,6 +230,9 @@
   const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *partitions() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::PartitionOwner *> *>(VT_PARTITIONS);
   }
+  const mangovalve::wire::CrashEvidence *evidence() const {
+    return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -239,6 +250,8 @@
            verifier.VerifyVector(teams()) &&
            VerifyOffset(verifier, VT_PARTITIONS) &&
            verifier.VerifyVector(partitions()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyTable(evidence()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -277,6 +290,9 @@
   void add_partitions(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions) {
     fbb_.AddOffset(LoadReport::VT_PARTITIONS, partitions);
   }
+  void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
+    fbb_.AddOffset(LoadReport::VT_EVIDENCE, evidence);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -300,11 +316,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointUse *>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
   builder_.add_teams(teams);
   builder_.add_queues(queues);
@@ -329,7 +347,8 @@
     const std::vector<mangovalve::wire::EndpointUse> *endpoints = nullptr,
     const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
-    const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr) {
+    const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
@@ -346,11 +365,39 @@
       endpoints__,
       queues__,
       teams__,
-      partitions__);
+      partitions__,
+      evidence);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline LoadReportT::LoadReportT(const LoadReportT &o)
+      : host(o.host),
+        domain(o.domain),
+        incarnation(o.incarnation),
+        sequence(o.sequence),
+        document(o.document),
+        endpoints(o.endpoints),
+        queues(o.queues),
+        teams(o.teams),
+        partitions(o.partitions),
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
+}
+
+inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(host, o.host);
+  std::swap(domain, o.domain);
+  std::swap(incarnation, o.incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(document, o.document);
+  std::swap(endpoints, o.endpoints);
+  std::swap(queues, o.queues);
+  std::swap(teams, o.teams);
+  std::swap(partitions, o.partitions);
+  std::swap(evidence, o.evidence);
+  return *this;
+}
+
 inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LoadReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -369,6 +416,7 @@
   { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = *_e->Get(_i); } } }
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
+  { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -388,6 +436,7 @@
   auto _queues = _o->queues.size() ? _fbb.CreateVectorOfStructs(_o->queues) : 0;
   auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
+  auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       _host,
@@ -398,7 +447,8 @@
       _endpoints,
       _queues,
       _teams,
-      _partitions);
+      _partitions,
+      _evidence);
 }
 
 inline const mangovalve::wire::LoadReport *GetLoadReport(const void *buf) {
--- a/mangovalve/peer/report_exchange.cc
+++ b/mangovalve/peer/report_exchange.cc
@@ -83,6 +83,24 @@
                               kMaxSummaryInterval);
 }
 
+auto ComparableBytes(wire::LoadReportT aReport) -> std::string
+{
+  if (aReport.evidence) {
+    auto& evidence = *aReport.evidence;
+    for (auto& run : evidence.runs) {
+      run->age_ms = 0;
+    }
+    for (auto& start : evidence.starts) {
+      start = wire::PartStart(start.part(), 0);
+    }
+    evidence.quarantines.clear();
+    if (evidence.runs.empty() && evidence.starts.empty()) {
+      aReport.evidence.reset();
+    }
+  }
+  return Pack(aReport);
+}
+
 ReportExchange::ReportExchange(asio::io_context& aLoop,
                                ReportPorts aPorts,
                                std::uint64_t aIncarnation)
@@ -169,7 +187,7 @@
   for (;;) {
     auto report = mPorts.mOwnReport();
     report.incarnation = mIncarnation;
-    auto packed = Pack(report);
+    auto packed = ComparableBytes(report);
     const auto now = Clock::now();
     const auto peers = mPorts.mDomainPeers();
     if (packed != last || now >= lastSent + kUnchangedInterval) {
--- a/mangovalve/peer/report_exchange.h
+++ b/mangovalve/peer/report_exchange.h
@@ -40,6 +40,11 @@
 // the own domain are full, and traffic between domains is expensive.
 auto SummaryInterval(std::size_t aHosts) -> Duration;
 
+// Bytes that differ between two reports if the later one has news. Ages of
+// evidence and quarantines are left out: ages change all the time, and a new
+// quarantine comes with the runs that caused it.
+auto ComparableBytes(wire::LoadReportT aReport) -> std::string;
+
 class ReportExchange
 {
 public:
--- a/mangovalve/peer/state_copy_generated.h
+++ b/mangovalve/peer/state_copy_generated.h
@@ -13,6 +13,8 @@
               FLATBUFFERS_VERSION_REVISION == 8,
              "Non-compatible flatbuffers version included");
 
+#include "crash_evidence_generated.h"
+
 namespace mangovalve {
 namespace wire {
 
@@ -114,6 +116,7 @@
   std::vector<uint8_t> document{};
   std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> endpoints{};
   std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> hosts{};
+  std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
   StateCopyT() = default;
   StateCopyT(const StateCopyT &o);
   StateCopyT(StateCopyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -128,7 +131,8 @@
     VT_DOCUMENT_VERSION = 4,
     VT_DOCUMENT = 6,
     VT_ENDPOINTS = 8,
-    VT_HOSTS = 10
+    VT_HOSTS = 10,
+    VT_EVIDENCE = 12
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -142,6 +146,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *>(VT_HOSTS);
   }
+  const mangovalve::wire::CrashEvidence *evidence() const {
+    return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -153,6 +160,8 @@
            VerifyOffset(verifier, VT_HOSTS) &&
            verifier.VerifyVector(hosts()) &&
            verifier.VerifyVectorOfTables(hosts()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyTable(evidence()) &&
            verifier.EndTable();
   }
   StateCopyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -176,6 +185,9 @@
   void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts) {
     fbb_.AddOffset(StateCopy::VT_HOSTS, hosts);
   }
+  void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
+    fbb_.AddOffset(StateCopy::VT_EVIDENCE, evidence);
+  }
   explicit StateCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -192,9 +204,11 @@
     uint64_t document_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts = 0,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   StateCopyBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_evidence(evidence);
   builder_.add_hosts(hosts);
   builder_.add_endpoints(endpoints);
   builder_.add_document(document);
@@ -211,7 +225,8 @@
     uint64_t document_version = 0,
     const std::vector<uint8_t> *document = nullptr,
     const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts = nullptr) {
+    const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts = nullptr,
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*endpoints) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*hosts) : 0;
@@ -220,7 +235,8 @@
       document_version,
       document__,
       endpoints__,
-      hosts__);
+      hosts__,
+      evidence);
 }
 
 flatbuffers::Offset<StateCopy> CreateStateCopy(flatbuffers::FlatBufferBuilder &_fbb, const StateCopyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -256,7 +272,8 @@
 
 inline StateCopyT::StateCopyT(const StateCopyT &o)
       : document_version(o.document_version),
-        document(o.document) {
+        document(o.document),
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangovalve::wire::RecordCopyT(*endpoints_) : nullptr); }
   hosts.reserve(o.hosts.size());
@@ -268,6 +285,7 @@
   std::swap(document, o.document);
   std::swap(endpoints, o.endpoints);
   std::swap(hosts, o.hosts);
+  std::swap(evidence, o.evidence);
   return *this;
 }
 
@@ -284,6 +302,7 @@
   { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StateCopy> StateCopy::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateCopyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -298,12 +317,14 @@
   auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _hosts = _o->hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
   return mangovalve::wire::CreateStateCopy(
       _fbb,
       _document_version,
       _document,
       _endpoints,
-      _hosts);
+      _hosts,
+      _evidence);
 }
 
 inline const mangovalve::wire::StateCopy *GetStateCopy(const void *buf) {
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -129,7 +129,9 @@
 {
   ReportPorts ports;
   ports.mOwnReport = [this] {
-    auto report = OwnReport(mState, Clock::now());
+    const auto now = Clock::now();
+    NoteEvidence(mState.mSuspectExchange, mState.mSuspects, now);
+    auto report = OwnReport(mState, now);
     mJobs.AddOwnedPartitions(report);
     return report;
   };
@@ -138,7 +140,10 @@
     return OwnSummary(mState, own(), Clock::now());
   };
   ports.mSummaryTargets = [this] { return SummaryTargets(); };
-  ports.mUrgent = [this] { return AnyTeamNearRateLimit(mState); };
+  ports.mUrgent = [this] {
+    return AnyTeamNearRateLimit(mState) ||
+           AnyNewCrash(mState.mSuspectExchange, Clock::now());
+  };
   ports.mOnReport = [this](wire::LoadReportT aReport) {
     if (aReport.host != mState.mHost) {
       ApplyPeerReport(mState, std::move(aReport), mIncarnation, Clock::now());
@@ -453,6 +458,8 @@
     addHost(host, peer.mDomain);
   }
   addHost(mState.mHost, mState.mDomain);
+  copy.evidence =
+    EvidenceToSend(mState.mSuspectExchange, mState.mSuspects, Clock::now());
   return copy;
 }
 
@@ -485,6 +492,13 @@
               Clock::now());
     }
   }
+  if (copy->evidence) {
+    ApplyEvidence(mState.mSuspects,
+                  mState.mSuspectPolicy,
+                  *copy->evidence,
+                  aPeer,
+                  Clock::now());
+  }
   if (mEndpointsLoaded || copy->endpoints.empty()) {
     co_return;
   }
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -117,6 +117,17 @@
   }
 }
 
+auto ApplyPeerEvidence(ServingState& aState,
+                       const wire::CrashEvidenceT* aEvidence,
+                       const std::string& aHost,
+                       TimePoint aNow) -> void
+{
+  if (aEvidence != nullptr) {
+    ApplyEvidence(
+      aState.mSuspects, aState.mSuspectPolicy, *aEvidence, aHost, aNow);
+  }
+}
+
 auto ShareOfRates(const ServingState& aState) -> double
 {
   const auto responsive =
@@ -349,9 +360,11 @@
   const auto known = aState.mFleet.mPeers.find(host);
   const auto wasUnresponsive =
     known == aState.mFleet.mPeers.end() || known->second.mUnresponsive;
+  const auto evidence = std::move(aReport.evidence);
   if (!ApplyReport(aState.mFleet, std::move(aReport), aNow)) {
     return;
   }
+  ApplyPeerEvidence(aState, evidence.get(), host, aNow);
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
   for (const auto& use : report.teams) {
@@ -368,6 +381,7 @@
     }
   }
   if (wasUnresponsive) {
+    RepeatEvidence(aState.mSuspectExchange, aNow);
     UpdatePeerLiveness(aState, aNow);
     LogEvent(Severity::Info, "peer_heard", { { "peer", host } });
   }
@@ -382,14 +396,17 @@
   if (name == aState.mDomain) {
     return;
   }
+  const auto evidence = std::move(aSummary.evidence);
   const auto result =
     ApplySummary(aState.mFleet, std::move(aSummary), aState.mDomain, aNow);
   if (result == SummaryResult::Ignored) {
     return;
   }
   const auto& summary = aState.mFleet.mDomains[name].mLast;
+  ApplyPeerEvidence(aState, evidence.get(), summary.host, aNow);
   const auto newSender = result == SummaryResult::NewSender;
   if (newSender) {
+    RepeatEvidence(aState.mSuspectExchange, aNow);
     ResetBaselines(aState, summary.host);
     UpdatePeerLiveness(aState, aNow);
     LogEvent(Severity::Info,
@@ -446,6 +463,8 @@
         hash, rate->mAdmitted, static_cast<float>(rate->mTokens));
     }
   }
+  report.evidence =
+    EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   return report;
 }
 
@@ -454,6 +473,8 @@
                 TimePoint aNow) -> wire::DomainSummaryT
 {
   auto summary = SummarizeDomain(aState.mFleet, aOwnReport, aNow);
+  summary.evidence =
+    EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   for (const auto& [hash, rate] : aState.mRateOfHash) {
     if (rate->mRate > 0 &&
         rate->mDomainChangedAt > aNow - kAdmissionReportDuration) {
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -22,6 +22,7 @@
 #include "mangovalve/serving/endpoint_directory.h"
 #include "mangovalve/serving/fleet_load.h"
 #include "mangovalve/serving/protocol.h"
+#include "mangovalve/serving/suspect_exchange.h"
 
 namespace mangovalve {
 
@@ -98,6 +99,7 @@
   HealthPolicy mHealth;
   CrashSuspects mSuspects;
   SuspectPolicy mSuspectPolicy;
+  SuspectExchange mSuspectExchange; // of mSuspects
 };
 
 enum class Workload
@@ -178,7 +180,8 @@
                         Endpoint& aEndpoint,
                         const ReportedLoad& aLoad) -> void;
 
-// Applies a peer's report to loads and rates, then wakes waiting requests.
+// Applies a peer's report to loads, rates and evidence on crashes, then wakes
+// waiting requests.
 auto ApplyPeerReport(ServingState& aState,
                      wire::LoadReportT aReport,
                      std::uint64_t aOwnIncarnation,
@@ -193,7 +196,8 @@
                       wire::DomainSummaryT aSummary,
                       TimePoint aNow) -> void;
 
-// Load report of this daemon, without the job partitions that it owns.
+// Load report of this daemon, without the job partitions that it owns. The
+// evidence in it is that of the last NoteEvidence.
 auto OwnReport(const ServingState& aState, TimePoint aNow) -> wire::LoadReportT;
 
 // Summary of this daemon's failure domain; aOwnReport includes the job
