Crash suspects: resolve ties by moments; refute copies of near evidence

Two causes: when all endpoints crash within a second, few crashes are told apart, and a popular part tied with the deadly one; and a copy of a wrong quarantine wasn't refuted where the same crashes were counted as one fewer.

--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -25,8 +25,10 @@
 struct CrashCount
 {
   std::size_t mCrashes = 0;
+  std::size_t mMoments = 0; // likewise, with those of one crash apart
   std::size_t mRuns = 0;
-  TimePoint mCrashAt{}; // first run of the last crash; undefined if none
+  TimePoint mCrashAt{};  // first run of the last crash; undefined if none
+  TimePoint mMomentAt{}; // likewise
 };
 
 auto Count(CrashCount& aCount, TimePoint aAt, const SuspectPolicy& aPolicy)
@@ -36,6 +38,10 @@
     ++aCount.mCrashes;
     aCount.mCrashAt = aAt;
   }
+  if (aCount.mMoments == 0 || aAt - aCount.mMomentAt > aPolicy.mJitter) {
+    ++aCount.mMoments;
+    aCount.mMomentAt = aAt;
+  }
   ++aCount.mRuns;
 }
 
@@ -138,8 +144,8 @@
 }
 
 // The part with the most unexplained crashes, if they suffice for a quarantine.
-// Among several the one in the fewest runs: a popular part is at most endpoints
-// at any time.
+// Among several the one at the most moments, then in the fewest runs: a popular
+// part is at most endpoints at any time.
 auto LikeliestCause(const CrashSuspects& aSuspects,
                     const Explained& aExplained,
                     const SuspectPolicy& aPolicy) -> std::optional<PartHash>
@@ -162,6 +168,9 @@
     if (left.mCrashes != right.mCrashes) {
       return left.mCrashes > right.mCrashes;
     }
+    if (left.mMoments != right.mMoments) {
+      return left.mMoments > right.mMoments;
+    }
     return std::pair(left.mRuns, leftPart) < std::pair(right.mRuns, rightPart);
   };
   const auto likeliest =
@@ -230,8 +239,8 @@
     });
 }
 
-// Whether the evidence that would suffice for the quarantine is explained by
-// the attributed ones, so that its parts were only present at the crashes.
+// Whether the evidence for the quarantine is explained by the attributed ones,
+// so that its parts were only present at the crashes.
 auto IsRefuted(const CrashSuspects& aSuspects,
                const Quarantine& aQuarantine,
                const Attribution& aAttribution,
@@ -249,9 +258,14 @@
       Count(unexplained, run.mAt, aPolicy);
     }
   }
-  return all.mCrashes >= aPolicy.mCrashesToQuarantine &&
-         unexplained.mCrashes < aPolicy.mCrashesToQuarantine &&
-         !IsPartOfCause(aSuspects, aQuarantine, aAttribution);
+  // Hosts may count crashes differently that are close to each other, so less
+  // evidence suffices if all of it is explained.
+  const auto explained =
+    unexplained.mCrashes == 0
+      ? all.mCrashes >= aPolicy.mCrashesToSuspect && all.mCrashes > 0
+      : all.mCrashes >= aPolicy.mCrashesToQuarantine &&
+          unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+  return explained && !IsPartOfCause(aSuspects, aQuarantine, aAttribution);
 }
 
 // Removes quarantines whose set has a subset among the others.
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -55,6 +55,8 @@
   // Crashes within this time count as one: many endpoints that are lost at once
   // have a common cause, which is not a request.
   Duration mSameCrash = std::chrono::milliseconds(100);
+  // The times of a crash differ by less between requests and hosts.
+  Duration mJitter = std::chrono::milliseconds(15);
   // Evidence is forgotten after this time.
   Duration mRetention = std::chrono::minutes(10);
   Duration mQuarantine = std::chrono::hours(1);
