Keep quarantines in the store

When all hosts are killed at once, what they knew is lost, and callers' requests with a known deadly part crash endpoints again until there is new evidence.

A keyed table now has one record for each quarantine, with Unix times. A host reads it once at its start, retried until the store answers, and learns the rest from its peers; readiness does not wait for it. The two most preferred responsive hosts of each failure domain write a change, the second one 3 s later, since the first may be unable to reach the store; others follow when those stop responding. A quarantine that ends, or loses a part, is deleted from the table in the same way. A prolonged one is written again when it lasts 5 min longer than its record.

--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include "mangovalve/batch/flatbuffers_table.h"
+#include "mangovalve/serving/quarantine_store.h"
 #include "mangovalve/serving/shutdown.h"
 #include "mangovalve/serving/table_follower.h"
 #include "mangovalve/telemetry/counters.h"
@@ -216,6 +217,7 @@
   mJobs.Start();
   Spawn(mLoop, RegisterHost());
   Spawn(mLoop, LoadStateFromPeers());
+  Spawn(mLoop, KeepQuarantines(mState, mTables));
   Spawn(mLoop, RunMaintenance());
   Spawn(mLoop, WaitForSignals());
   LogEvent(Severity::Info,
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -30,6 +30,8 @@
       return "hosts";
     case Table::Jobs:
       return "jobs";
+    case Table::Quarantines:
+      return "quarantines";
   }
   return "unknown";
 }
--- a/mangovalve/serving/tables.h
+++ b/mangovalve/serving/tables.h
@@ -25,6 +25,7 @@
   Endpoints,     // written by the endpoints themselves
   Hosts,         // one record for each daemon
   Jobs,          // batch jobs and results; partitioned by team
+  Quarantines,   // parts of prompts that crash endpoints
 };
 
 enum class TableErrorKind
