--- /dev/null
+++ b/mangovalve/routing/crash_suspects_test.cc
@@ -0,0 +1,666 @@
+// Tests of the attribution of crashes to parts of prompts.
+#include "mangovalve/routing/crash_suspects.h"
+
+#include <algorithm>
+#include <array>
+#include <initializer_list>
+#include <iterator>
+
+#include <doctest/doctest.h>
+
+#include "mangovalve/base/property.h"
+#include "mangovalve/base/random.h"
+
+namespace mangovalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kStart = TimePoint(std::chrono::hours(1));
+constexpr PartHash kDeadly = 7;
+constexpr PartHash kFirst = 11; // of several popular first parts
+constexpr PartHash kOtherFirst = 12;
+constexpr PartHash kSession = 101;
+constexpr std::uint64_t kOwnParts = 1000000; // parts of one request only
+
+const SuspectPolicy kPolicy;
+
+// The suspects of a host, and the identifiers it gives.
+struct Host
+{
+  CrashSuspects mSuspects;
+  std::uint64_t mNext = kOwnParts;
+};
+
+// Records a crashed run with these parts and with one of its own.
+auto Crash(Host& aHost, TimePoint aAt, PartSet aParts)
+  -> std::vector<Quarantine>
+{
+  const auto id = aHost.mNext++;
+  aParts.push_back(id);
+  return RecordCrash(aHost.mSuspects,
+                     { .mId = id, .mAt = aAt, .mParts = std::move(aParts) },
+                     kPolicy,
+                     aAt);
+}
+
+auto Start(Host& aHost, TimePoint aAt, std::initializer_list<PartHash> aParts)
+  -> void
+{
+  RecordStart(aHost.mSuspects, std::vector(aParts), aAt);
+}
+
+auto Refuses(const Host& aHost,
+             TimePoint aAt,
+             std::initializer_list<PartHash> aParts) -> bool
+{
+  return IsQuarantined(aHost.mSuspects, std::vector(aParts), aAt);
+}
+
+auto Suspects(const Host& aHost,
+              TimePoint aAt,
+              std::initializer_list<PartHash> aParts) -> bool
+{
+  return IsSuspected(aHost.mSuspects, std::vector(aParts), kPolicy, aAt);
+}
+
+// The quarantined sets, sorted.
+auto Sets(const CrashSuspects& aSuspects) -> std::vector<PartSet>
+{
+  std::vector<PartSet> sets;
+  for (const auto& quarantine : aSuspects.mQuarantines) {
+    sets.push_back(quarantine.mParts);
+  }
+  std::sort(sets.begin(), sets.end());
+  return sets;
+}
+
+using PartSets = std::vector<PartSet>;
+
+// Crashes of requests with the parts, one second apart, from aFrom on.
+auto CrashTimes(Host& aHost,
+                std::size_t aTimes,
+                TimePoint aFrom,
+                const PartSet& aParts) -> TimePoint
+{
+  for (std::size_t i = 0; i < aTimes; ++i) {
+    Crash(aHost, aFrom, aParts);
+    aFrom += seconds(1);
+  }
+  return aFrom;
+}
+
+// Guards against a deadly part that keeps crashing endpoints, and against
+// popular parts that are refused in its place.
+TEST_CASE("only the deadly part of a prompt is quarantined, after 4 crashes")
+{
+  Host host;
+  auto now = kStart;
+  for (PartHash crash = 0; crash < 4; ++crash) {
+    CHECK(Sets(host.mSuspects).empty());
+    // Bystanders with the most popular first part are at each endpoint.
+    Crash(host, now, { kFirst, kSession + crash });
+    Crash(host, now, { kFirst, kSession + 10 + crash });
+    const auto added = Crash(host, now, { kFirst + crash % 2, kDeadly });
+    CHECK(added.size() == (crash == 3 ? 1 : 0));
+    now += seconds(1);
+  }
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+  CHECK(Refuses(host, now, { 5, kDeadly, 6 }));
+  CHECK_FALSE(Refuses(host, now, { kFirst, kSession }));
+  CHECK_FALSE(Suspects(host, now, { kFirst, kSession }));
+}
+
+// Guards against the refusal of all requests with a sound first part, and
+// against a deadly part that passes with another first part.
+TEST_CASE("a first part that always came with the deadly one can be cleared")
+{
+  Host host;
+  const auto now = CrashTimes(host, 4, kStart, { kFirst, kDeadly });
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly, kFirst } });
+  CHECK_FALSE(Refuses(host, now, { kFirst, kSession }));
+  CHECK_FALSE(Refuses(host, now, { kOtherFirst, kDeadly }));
+  CHECK(Refuses(host, now, { kFirst, kSession, kDeadly }));
+  Start(host, now, { kFirst, kSession });
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+  CHECK(Refuses(host, now, { kOtherFirst, kDeadly }));
+}
+
+// Guards against as many crashes for each first part the deadly one comes with.
+TEST_CASE("one crash with another first part tells the deadly part apart")
+{
+  Host host;
+  const auto now = CrashTimes(host, 4, kStart, { kFirst, kDeadly });
+  const auto added = Crash(host, now, { kOtherFirst, kDeadly });
+  CHECK(added.size() == 1);
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+}
+
+// Guards against a request that is repeated by its caller and hides the part
+// that crashes others: the request's own part is in the first crashes too.
+TEST_CASE("crashes of one repeated request and of another one are combined")
+{
+  Host host;
+  auto now = CrashTimes(host, 1, kStart, { kSession, kDeadly });
+  for (std::uint64_t run = 0; run < 3; ++run) {
+    RecordCrash(
+      host.mSuspects,
+      { .mId = run, .mAt = now, .mParts = { kSession, kDeadly, kOwnParts } },
+      kPolicy,
+      now);
+    now += seconds(1);
+  }
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly, kSession, kOwnParts } });
+  Crash(host, now, { kFirst, kDeadly });
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+}
+
+// Guards against the loss of a session that has deadly and sound requests.
+TEST_CASE("a session with sound requests too is not quarantined")
+{
+  Host host;
+  auto now = kStart;
+  for (auto i = 0; i < 8; ++i) {
+    Crash(host, now, { kFirst, kSession, kDeadly });
+    Start(host, now + milliseconds(300), { kFirst, kSession });
+    now += seconds(1);
+  }
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+  CHECK_FALSE(Suspects(host, now, { kFirst, kSession }));
+}
+
+// Guards against the conviction of what was in progress when a failure domain
+// was lost.
+TEST_CASE("endpoints that are lost at the same time convict nobody")
+{
+  std::array<Host, 12> hosts;
+  Host merged;
+  for (std::uint64_t number = 0; number < hosts.size(); ++number) {
+    auto& host = hosts[number];
+    host.mNext += number * 1000;
+    for (std::uint64_t endpoint = 0; endpoint < 12; ++endpoint) {
+      const auto at = kStart + milliseconds((number * 12 + endpoint) % 90);
+      CHECK(Crash(host, at, { kFirst, kSession }).empty());
+      CHECK(Crash(host, at, { kFirst, kDeadly }).empty());
+    }
+  }
+  for (const auto& host : hosts) {
+    CHECK(Sets(host.mSuspects).empty());
+    CHECK_FALSE(Suspects(host, kStart, { kFirst, kSession }));
+    for (const auto& run : host.mSuspects.mRuns) {
+      CHECK(RecordCrash(merged.mSuspects, run, kPolicy, kStart + seconds(1))
+              .empty());
+    }
+  }
+  CHECK_FALSE(Suspects(merged, kStart + seconds(1), { kFirst, kSession }));
+}
+
+// Guards against the conviction of popular parts when endpoints are lost one
+// after the other for another reason, as at the end of their machines.
+TEST_CASE("endpoints that are lost in turn under steady traffic convict nobody")
+{
+  Host host;
+  auto now = kStart;
+  for (PartHash endpoint = 0; endpoint < 12; ++endpoint) {
+    for (PartHash run = 0; run < 6; ++run) {
+      Crash(host, now, { kFirst + run % 2, kSession + (endpoint + run) % 8 });
+    }
+    for (PartHash session = 0; session < 8; ++session) {
+      Start(host,
+            now + milliseconds(200 + 50 * session),
+            { kFirst + session % 2, kSession + session });
+    }
+    now += seconds(1);
+    CHECK(Sets(host.mSuspects).empty());
+  }
+  CHECK_FALSE(Suspects(host, now, { kFirst, kSession }));
+}
+
+// Guards against the conviction of a rare sound part, which has no answer that
+// could clear it, for crashes that another part explains.
+TEST_CASE("a rare part that was a bystander is neither refused nor suspected")
+{
+  Host host;
+  auto now = kStart;
+  for (PartHash crash = 0; crash < 6; ++crash) {
+    Crash(host, now, { kFirst + crash % 3, kDeadly });
+    if (crash != 2) {
+      Crash(host, now + milliseconds(2), { kFirst + crash % 3, kSession });
+    }
+    now += seconds(1);
+  }
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+  CHECK_FALSE(Suspects(host, now, { kFirst, kSession }));
+}
+
+// Guards against a host that refuses a sound part since another host's evidence
+// against the deadly one came late.
+TEST_CASE("late evidence refutes the quarantine of a bystander, also a copy")
+{
+  Host own;
+  Host other;
+  other.mNext += 1000;
+  auto now = kStart;
+  for (PartHash crash = 0; crash < 5; ++crash) {
+    if (crash > 0) {
+      Crash(own, now, { kSession, kFirst + crash % 2 });
+    }
+    Crash(other, now, { kDeadly, kFirst + crash % 2 });
+    now += seconds(1);
+  }
+  REQUIRE(Sets(own.mSuspects) == PartSets{ { kSession } });
+  const auto wrong = own.mSuspects.mQuarantines.front();
+  REQUIRE(AdoptQuarantine(other.mSuspects, wrong, kPolicy, now));
+  const auto ownRuns = own.mSuspects.mRuns;
+  for (const auto& run : other.mSuspects.mRuns) {
+    RecordCrash(own.mSuspects, run, kPolicy, now);
+  }
+  for (const auto& run : ownRuns) {
+    RecordCrash(other.mSuspects, run, kPolicy, now);
+  }
+  CHECK(Sets(own.mSuspects) == PartSets{ { kDeadly } });
+  CHECK(Sets(other.mSuspects) == PartSets{ { kDeadly } });
+  CHECK_FALSE(AdoptQuarantine(other.mSuspects, wrong, kPolicy, now));
+}
+
+// Guards against a sound part that stays refused though it is answered.
+TEST_CASE("a wrong quarantine ends when an answer begins, and stays ended")
+{
+  Host host;
+  const auto now = CrashTimes(host, 5, kStart, { kSession });
+  REQUIRE(Refuses(host, now, { kSession }));
+  auto copy = host.mSuspects.mQuarantines.front();
+  Start(host, kStart - milliseconds(1), { kSession });
+  CHECK(Refuses(host, now, { kSession })); // it began before the first crash
+  Start(host, now, { kSession });
+  CHECK_FALSE(Refuses(host, now, { kSession }));
+  CHECK_FALSE(Suspects(host, now, { kSession }));
+  for (const auto jitter : { -5, 0, 5 }) {
+    copy.mSince += milliseconds(jitter);
+    CHECK_FALSE(AdoptQuarantine(host.mSuspects, copy, kPolicy, now));
+  }
+  Crash(host, now + seconds(1), { kSession });
+  CHECK(Sets(host.mSuspects).empty());
+}
+
+// Guards against a copy that revives an ended quarantine of a host that has no
+// evidence of its own.
+TEST_CASE("an adopted quarantine that was cleared is not revived by a copy")
+{
+  Host host;
+  const Quarantine copy{ .mParts = { kSession },
+                         .mSince = kStart,
+                         .mUntil = kStart + kPolicy.mQuarantine };
+  REQUIRE(AdoptQuarantine(host.mSuspects, copy, kPolicy, kStart));
+  Start(host, kStart + milliseconds(20), { kSession });
+  ForgetExpired(host.mSuspects, kPolicy, kStart + seconds(1));
+  auto later = copy;
+  later.mSince += milliseconds(40); // the times of copies are uncertain
+  CHECK_FALSE(
+    AdoptQuarantine(host.mSuspects, later, kPolicy, kStart + seconds(1)));
+  CHECK(Sets(host.mSuspects).empty());
+}
+
+// Guards against sets that are refused twice, or that refuse too little.
+TEST_CASE("adopted sets are minimal and their copies have no effect")
+{
+  Host host;
+  const auto adopt = [&](PartSet aParts, TimePoint aUntil) {
+    return AdoptQuarantine(
+      host.mSuspects,
+      { .mParts = std::move(aParts), .mSince = kStart, .mUntil = aUntil },
+      kPolicy,
+      kStart);
+  };
+  const auto until = kStart + seconds(60);
+  CHECK_FALSE(adopt({}, until));
+  CHECK_FALSE(adopt({ kDeadly }, kStart));
+  CHECK(adopt({ kFirst, kDeadly }, until));
+  CHECK_FALSE(adopt({ kDeadly, kFirst }, until));
+  CHECK(adopt({ kDeadly }, until));
+  CHECK_FALSE(adopt({ kDeadly, kSession }, until + milliseconds(50)));
+  REQUIRE(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+  CHECK(host.mSuspects.mQuarantines.front().mUntil == until);
+  CHECK_FALSE(adopt({ kDeadly, kSession }, until + seconds(60)));
+  CHECK(host.mSuspects.mQuarantines.front().mUntil == until + seconds(60));
+}
+
+// Guards against retries of a request that has crashed two endpoints, and
+// against the loss of those that share a part with it.
+TEST_CASE("a request with the parts of two crashes is suspected")
+{
+  Host host;
+  CrashTimes(host, 1, kStart, { kFirst, kDeadly });
+  const auto now = kStart + seconds(1);
+  CHECK_FALSE(Suspects(host, now, { kFirst, kDeadly }));
+  Crash(host, now, { kFirst, kDeadly });
+  CHECK(Suspects(host, now, { kDeadly, kSession, kFirst }));
+  CHECK_FALSE(Suspects(host, now, { kFirst, kSession }));
+  Start(host, now + milliseconds(1), { kFirst });
+  CHECK(Suspects(host, now, { kDeadly }));
+  CHECK_FALSE(Refuses(host, now, { kDeadly, kFirst }));
+}
+
+// Guards against memory that grows with the number of different parts.
+TEST_CASE("memory is bounded when every request brings new parts")
+{
+  Host host;
+  const auto maxStarts = kPolicy.mMaxRuns * 33 + kPolicy.mMaxQuarantines * 32;
+  auto now = kStart;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    PartSet parts;
+    for (std::uint64_t part = 0; part < 50; ++part) {
+      parts.push_back(i * 100 + part);
+    }
+    Crash(host, now, parts);
+    RecordStart(host.mSuspects, parts, now + milliseconds(1));
+    AdoptQuarantine(host.mSuspects,
+                    { .mParts = { i * 100 + 70 },
+                      .mSince = now,
+                      .mUntil = now + seconds(30) },
+                    kPolicy,
+                    now);
+    now += milliseconds(10);
+    REQUIRE(host.mSuspects.mRuns.size() <= kPolicy.mMaxRuns);
+    REQUIRE(host.mSuspects.mQuarantines.size() <= kPolicy.mMaxQuarantines);
+    REQUIRE(host.mSuspects.mStarts.size() <= maxStarts);
+  }
+  ForgetExpired(host.mSuspects, kPolicy, now + std::chrono::hours(2));
+  CHECK(host.mSuspects.mRuns.empty());
+  CHECK(host.mSuspects.mQuarantines.empty());
+  CHECK(host.mSuspects.mStarts.empty());
+}
+
+// Guards against requests that are refused forever.
+TEST_CASE("evidence and quarantines expire")
+{
+  Host host;
+  const auto now = CrashTimes(host, 3, kStart, { kDeadly });
+  const auto later = now + kPolicy.mRetention;
+  Crash(host, later, { kDeadly });
+  CHECK(Sets(host.mSuspects).empty());
+  const auto last = CrashTimes(host, 3, later + seconds(1), { kDeadly });
+  const auto until = last - seconds(1) + kPolicy.mQuarantine;
+  CHECK(Refuses(host, until - milliseconds(1), { kDeadly }));
+  CHECK_FALSE(Refuses(host, until, { kDeadly }));
+  CHECK_FALSE(Suspects(host, until, { kDeadly + 1 }));
+}
+
+// Some crashes one second apart, with several runs each.
+auto RandomEvidence(Random& aRandom) -> std::vector<CrashedRun>
+{
+  std::vector<CrashedRun> evidence;
+  for (std::uint64_t crash = 0; crash < 12; ++crash) {
+    const auto runs = 1 + UniformBelow(aRandom, 4);
+    for (std::uint64_t run = 0; run < runs; ++run) {
+      evidence.push_back({ .mId = evidence.size(),
+                           .mAt = kStart + seconds(crash) + milliseconds(run),
+                           .mParts = { kFirst + UniformBelow(aRandom, 3),
+                                       kSession + UniformBelow(aRandom, 8),
+                                       kDeadly - UniformBelow(aRandom, 3),
+                                       kOwnParts + evidence.size() } });
+    }
+  }
+  return evidence;
+}
+
+// Gives a host the evidence in random order, with copies that differ in time.
+// In between it exchanges quarantines with a host that knows other evidence.
+auto RecordShuffled(const std::vector<CrashedRun>& aEvidence, Random& aRandom)
+  -> CrashSuspects
+{
+  const auto now = kStart + seconds(60);
+  auto copies = aEvidence;
+  copies.insert(copies.end(), aEvidence.begin(), aEvidence.end());
+  Shuffle(copies, aRandom);
+  CrashSuspects suspects;
+  CrashSuspects other;
+  for (auto& copy : copies) {
+    copy.mAt += milliseconds(UniformBelow(aRandom, 10));
+    RecordCrash(
+      UniformBelow(aRandom, 2) == 0 ? other : suspects, copy, kPolicy, now);
+    for (const auto& quarantine : other.mQuarantines) {
+      AdoptQuarantine(suspects, quarantine, kPolicy, now);
+    }
+  }
+  Shuffle(copies, aRandom);
+  for (const auto& copy : copies) {
+    RecordCrash(suspects, copy, kPolicy, now);
+  }
+  return suspects;
+}
+
+// Guards against hosts that disagree since their evidence came in another
+// order.
+TEST_CASE("order, copies and late arrival of evidence make no difference")
+{
+  std::size_t convicted = 0;
+  CHECK(CheckSeeded(20261205, 300, [&](std::uint64_t aSeed) {
+    Random random{ aSeed };
+    const auto evidence = RandomEvidence(random);
+    CrashSuspects inOrder;
+    for (const auto& run : evidence) {
+      RecordCrash(inOrder, run, kPolicy, kStart + seconds(60));
+    }
+    convicted += inOrder.mQuarantines.empty() ? 0 : 1;
+    for (auto i = 0; i < 4; ++i) {
+      RC_ASSERT(Sets(RecordShuffled(evidence, random)) == Sets(inOrder));
+    }
+  }));
+  CHECK(convicted > 100);
+}
+
+// A request of the simulation.
+struct SimRequest
+{
+  std::size_t mHost = 0;
+  std::uint64_t mRun = 0;
+  PartSet mParts;
+  bool mDeadly = false;
+  int mAttempts = 0;
+  TimePoint mStartAt{}; // of the answer, or of the crash
+};
+
+struct SimEndpoint
+{
+  TimePoint mUpAt{};
+  std::vector<SimRequest> mRunning; // without an answer
+};
+
+struct SimDay
+{
+  double mDeadlyShare = 0;
+  bool mDeadlySession = false; // instead of a part that is added
+  std::uint64_t mFirsts = 8;
+  std::uint64_t mSessions = 60;
+  double mArrivalsPerMs = 0.05;
+};
+
+struct SimResult
+{
+  std::vector<TimePoint> mCrashes;
+  std::vector<TimePoint> mDeadlySends;
+  std::vector<TimePoint> mSoundRefusals;
+  std::size_t mSoundStarts = 0;
+};
+
+// Three hosts and twelve endpoints in virtual time.
+struct Simulation
+{
+  SimDay mDay;
+  Random mRandom;
+  std::array<CrashSuspects, 3> mHosts;
+  std::array<CrashSuspects, 3> mReports; // not yet received
+  std::array<SimEndpoint, 12> mEndpoints;
+  std::uint64_t mNext = kOwnParts;
+  SimResult mResult;
+};
+
+auto NewRequest(Simulation& aSimulation) -> SimRequest
+{
+  auto& random = aSimulation.mRandom;
+  SimRequest request;
+  request.mHost = UniformBelow(random, 3);
+  request.mDeadly = Uniform(random) < aSimulation.mDay.mDeadlyShare;
+  request.mParts = { kFirst + UniformBelow(random, aSimulation.mDay.mFirsts),
+                     aSimulation.mNext++ };
+  if (request.mDeadly) {
+    request.mParts.push_back(kDeadly);
+  }
+  if (!request.mDeadly || !aSimulation.mDay.mDeadlySession) {
+    request.mParts.push_back(kSession +
+                             UniformBelow(random, aSimulation.mDay.mSessions));
+  }
+  return request;
+}
+
+// Sends the request to an endpoint that is up, unless it is refused.
+auto Send(Simulation& aSimulation, SimRequest aRequest, TimePoint aNow) -> void
+{
+  if (IsQuarantined(
+        aSimulation.mHosts[aRequest.mHost], aRequest.mParts, aNow)) {
+    if (!aRequest.mDeadly) {
+      aSimulation.mResult.mSoundRefusals.push_back(aNow);
+    }
+    return;
+  }
+  std::vector<SimEndpoint*> up;
+  for (auto& endpoint : aSimulation.mEndpoints) {
+    if (endpoint.mUpAt <= aNow) {
+      up.push_back(&endpoint);
+    }
+  }
+  if (up.empty()) {
+    return;
+  }
+  auto& random = aSimulation.mRandom;
+  ++aRequest.mAttempts;
+  aRequest.mRun = aSimulation.mNext++;
+  aRequest.mStartAt = aNow + milliseconds(100 + UniformBelow(random, 300));
+  if (aRequest.mDeadly) {
+    aSimulation.mResult.mDeadlySends.push_back(aNow);
+  }
+  up[UniformBelow(random, up.size())]->mRunning.push_back(std::move(aRequest));
+}
+
+// All requests without an answer are evidence; they are retried.
+auto CrashEndpoint(Simulation& aSimulation,
+                   SimEndpoint& aEndpoint,
+                   TimePoint aNow) -> void
+{
+  aSimulation.mResult.mCrashes.push_back(aNow);
+  aEndpoint.mUpAt = aNow + seconds(3);
+  const auto lost = std::exchange(aEndpoint.mRunning, {});
+  for (const auto& request : lost) {
+    RecordCrash(aSimulation.mHosts[request.mHost],
+                { .mId = request.mRun, .mAt = aNow, .mParts = request.mParts },
+                kPolicy,
+                aNow);
+  }
+  for (const auto& request : lost) {
+    if (request.mAttempts < 3 &&
+        !IsSuspected(
+          aSimulation.mHosts[request.mHost], request.mParts, kPolicy, aNow)) {
+      Send(aSimulation, request, aNow);
+    }
+  }
+}
+
+auto RunEndpoint(Simulation& aSimulation,
+                 SimEndpoint& aEndpoint,
+                 TimePoint aNow) -> void
+{
+  auto& running = aEndpoint.mRunning;
+  const auto begins = std::stable_partition(
+    running.begin(), running.end(), [&](const SimRequest& aRequest) {
+      return aRequest.mStartAt > aNow;
+    });
+  const std::vector<SimRequest> started(begins, running.end());
+  if (std::any_of(started.begin(), started.end(), [](const auto& aRequest) {
+        return aRequest.mDeadly;
+      })) {
+    CrashEndpoint(aSimulation, aEndpoint, aNow);
+    return;
+  }
+  running.erase(begins, running.end());
+  for (const auto& request : started) {
+    RecordStart(aSimulation.mHosts[request.mHost], request.mParts, aNow);
+    ++aSimulation.mResult.mSoundStarts;
+  }
+}
+
+// Receives the reports that were sent before, and sends the next ones.
+auto ExchangeReports(Simulation& aSimulation, TimePoint aNow) -> void
+{
+  auto& random = aSimulation.mRandom;
+  for (auto& host : aSimulation.mHosts) {
+    for (const auto& report : aSimulation.mReports) {
+      for (auto run : report.mRuns) {
+        run.mAt += milliseconds(UniformBelow(random, 10));
+        RecordCrash(host, std::move(run), kPolicy, aNow);
+      }
+      for (auto quarantine : report.mQuarantines) {
+        quarantine.mSince += milliseconds(UniformBelow(random, 10));
+        AdoptQuarantine(host, std::move(quarantine), kPolicy, aNow);
+      }
+    }
+  }
+  aSimulation.mReports = aSimulation.mHosts;
+}
+
+auto Simulate(const SimDay& aDay, std::uint64_t aSeed) -> SimResult
+{
+  Simulation simulation;
+  simulation.mDay = aDay;
+  simulation.mRandom = { aSeed };
+  for (auto now = kStart; now < kStart + seconds(40); now += milliseconds(1)) {
+    if ((now - kStart) % milliseconds(250) == Duration(0)) {
+      ExchangeReports(simulation, now);
+    }
+    for (auto& endpoint : simulation.mEndpoints) {
+      RunEndpoint(simulation, endpoint, now);
+    }
+    if (Uniform(simulation.mRandom) < aDay.mArrivalsPerMs) {
+      Send(simulation, NewRequest(simulation), now);
+    }
+  }
+  return simulation.mResult;
+}
+
+auto CountSince(const std::vector<TimePoint>& aTimes, TimePoint aFrom)
+  -> std::ptrdiff_t
+{
+  return std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aTime) {
+    return aTime >= aFrom;
+  });
+}
+
+// Guards against deadly requests that still reach endpoints some seconds after
+// the fifth crash, and against sound requests that are refused in their place.
+TEST_CASE("three hosts stop a deadly part and serve all others")
+{
+  constexpr auto kContact = seconds(3);
+  for (const auto& day :
+       { SimDay{ .mDeadlyShare = 0.05 },
+         SimDay{ .mDeadlyShare = 0.05, .mDeadlySession = true },
+         SimDay{ .mDeadlyShare = 0.01 },
+         SimDay{ .mDeadlyShare = 0.05, .mFirsts = 1, .mSessions = 3 },
+         SimDay{ .mDeadlyShare = 0.3 } }) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+      CAPTURE(day.mDeadlyShare);
+      CAPTURE(day.mDeadlySession);
+      CAPTURE(seed);
+      const auto result = Simulate(day, seed);
+      REQUIRE(result.mCrashes.size() >= 4);
+      CHECK(result.mSoundStarts > 1000);
+      const auto fifth =
+        result.mCrashes[std::min<std::size_t>(4, result.mCrashes.size() - 1)];
+      CHECK(CountSince(result.mDeadlySends, fifth + kContact) <= 3);
+      CHECK(CountSince(result.mSoundRefusals, fifth + 2 * kContact) == 0);
+    }
+  }
+}
+
+} // namespace
+} // namespace mangovalve
