--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -25,8 +25,10 @@
 struct CrashCount
 {
   std::size_t mCrashes = 0;
+  std::size_t mMoments = 0; // likewise, with those of one crash apart
   std::size_t mRuns = 0;
-  TimePoint mCrashAt{}; // first run of the last crash; undefined if none
+  TimePoint mCrashAt{};  // first run of the last crash; undefined if none
+  TimePoint mMomentAt{}; // likewise
 };
 
 auto Count(CrashCount& aCount, TimePoint aAt, const SuspectPolicy& aPolicy)
@@ -36,6 +38,10 @@
     ++aCount.mCrashes;
     aCount.mCrashAt = aAt;
   }
+  if (aCount.mMoments == 0 || aAt - aCount.mMomentAt > aPolicy.mJitter) {
+    ++aCount.mMoments;
+    aCount.mMomentAt = aAt;
+  }
   ++aCount.mRuns;
 }
 
@@ -138,8 +144,8 @@
 }
 
 // The part with the most unexplained crashes, if they suffice for a quarantine.
-// Among several the one in the fewest runs: a popular part is at most endpoints
-// at any time.
+// Among several the one at the most moments, then in the fewest runs: a popular
+// part is at most endpoints at any time.
 auto LikeliestCause(const CrashSuspects& aSuspects,
                     const Explained& aExplained,
                     const SuspectPolicy& aPolicy) -> std::optional<PartHash>
@@ -162,6 +168,9 @@
     if (left.mCrashes != right.mCrashes) {
       return left.mCrashes > right.mCrashes;
     }
+    if (left.mMoments != right.mMoments) {
+      return left.mMoments > right.mMoments;
+    }
     return std::pair(left.mRuns, leftPart) < std::pair(right.mRuns, rightPart);
   };
   const auto likeliest =
@@ -211,8 +220,27 @@
                      });
 }
 
-// Whether the evidence that would suffice for the quarantine is explained by
-// the attributed ones, so that its parts were only present at the crashes.
+// Whether all runs with the quarantined set contain one larger attributed set.
+// The attribution can't tell the two apart; another host's evidence may.
+auto IsPartOfCause(const CrashSuspects& aSuspects,
+                   const Quarantine& aQuarantine,
+                   const Attribution& aAttribution) -> bool
+{
+  const auto& causes = aAttribution.mQuarantines;
+  return std::any_of(
+    causes.begin(), causes.end(), [&](const Quarantine& aCause) {
+      return IsSubset(aQuarantine.mParts, aCause.mParts) &&
+             std::all_of(aSuspects.mRuns.begin(),
+                         aSuspects.mRuns.end(),
+                         [&](const CrashedRun& aRun) {
+                           return !IsSubset(aQuarantine.mParts, aRun.mParts) ||
+                                  IsSubset(aCause.mParts, aRun.mParts);
+                         });
+    });
+}
+
+// Whether the evidence for the quarantine is explained by the attributed ones,
+// so that its parts were only present at the crashes.
 auto IsRefuted(const CrashSuspects& aSuspects,
                const Quarantine& aQuarantine,
                const Attribution& aAttribution,
@@ -220,7 +248,6 @@
 {
   CrashCount all;
   CrashCount unexplained;
-  auto withoutCause = false;
   for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
     const auto& run = aSuspects.mRuns[i];
     if (!IsSubset(aQuarantine.mParts, run.mParts)) {
@@ -230,11 +257,15 @@
     if (!aAttribution.mExplained[i]) {
       Count(unexplained, run.mAt, aPolicy);
     }
-    withoutCause =
-      withoutCause || !ContainsAny(run.mParts, aAttribution.mQuarantines);
   }
-  return withoutCause && all.mCrashes >= aPolicy.mCrashesToQuarantine &&
-         unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+  // Hosts may count crashes differently that are close to each other, so less
+  // evidence suffices if all of it is explained.
+  const auto explained =
+    unexplained.mCrashes == 0
+      ? all.mCrashes >= aPolicy.mCrashesToSuspect && all.mCrashes > 0
+      : all.mCrashes >= aPolicy.mCrashesToQuarantine &&
+          unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+  return explained && !IsPartOfCause(aSuspects, aQuarantine, aAttribution);
 }
 
 // Removes quarantines whose set has a subset among the others.
@@ -336,21 +367,28 @@
   });
 }
 
-// Inserts the run in the order of time. Returns whether it is new evidence.
+// Whether the run is no evidence that is new here. Runs that are older than
+// all others when there is no space have been forgotten already.
+auto IsKnownOrForgotten(const CrashSuspects& aSuspects,
+                        const CrashedRun& aRun,
+                        const SuspectPolicy& aPolicy,
+                        TimePoint aNow) -> bool
+{
+  const auto& runs = aSuspects.mRuns;
+  return aNow - aRun.mAt >= aPolicy.mRetention || aPolicy.mMaxRuns == 0 ||
+         (runs.size() >= aPolicy.mMaxRuns && aRun.mAt <= runs.front().mAt) ||
+         std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& aKnown) {
+           return aKnown.mId == aRun.mId;
+         });
+}
+
+// Inserts the run in the order of time.
 auto InsertRun(CrashSuspects& aSuspects,
                CrashedRun aRun,
-               const SuspectPolicy& aPolicy) -> bool
+               const SuspectPolicy& aPolicy) -> void
 {
   auto& runs = aSuspects.mRuns;
-  if (std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& aKnown) {
-        return aKnown.mId == aRun.mId;
-      })) {
-    return false;
-  }
   if (runs.size() >= aPolicy.mMaxRuns) {
-    if (runs.empty() || aRun.mAt <= runs.front().mAt) {
-      return false;
-    }
     runs.pop_front();
   }
   for (const auto part : aRun.mParts) {
@@ -362,7 +400,6 @@
     aRun.mAt,
     [](TimePoint aAt, const CrashedRun& aKnown) { return aAt < aKnown.mAt; });
   runs.insert(later, std::move(aRun));
-  return true;
 }
 
 } // namespace
@@ -372,14 +409,15 @@
                  const SuspectPolicy& aPolicy,
                  TimePoint aNow) -> std::vector<Quarantine>
 {
-  ForgetExpired(aSuspects, aPolicy, aNow);
   aRun.mAt = std::min(aRun.mAt, aNow);
-  Normalize(aRun.mParts);
-  aRun.mParts.resize(std::min(aRun.mParts.size(), kMaxParts));
-  if (aRun.mParts.empty() || aNow - aRun.mAt >= aPolicy.mRetention ||
-      !InsertRun(aSuspects, std::move(aRun), aPolicy)) {
+  if (aRun.mParts.empty() ||
+      IsKnownOrForgotten(aSuspects, aRun, aPolicy, aNow)) {
     return {};
   }
+  Normalize(aRun.mParts);
+  aRun.mParts.resize(std::min(aRun.mParts.size(), kMaxParts));
+  ForgetExpired(aSuspects, aPolicy, aNow);
+  InsertRun(aSuspects, std::move(aRun), aPolicy);
   const auto attribution = Attribute(aSuspects, aPolicy);
   std::erase_if(aSuspects.mQuarantines, [&](const Quarantine& aKnown) {
     return IsRefuted(aSuspects, aKnown, attribution, aPolicy);
