Tests of answers that end with their connection

New term of the users: an answer, a stream too, may come with neither a length nor chunks; a stream that ends inside an event, or whose connection is reset, has been broken off.

Every request must arrive on a connection of its own.

--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -2,6 +2,8 @@
 // protocol, or without end.
 #include "mangovalve/loop/http_client.h"
 
+#include <set>
+
 #include <doctest/doctest.h>
 
 #include "standins/common/free_address.h"
@@ -200,5 +202,116 @@
   }
 }
 
+// How a server ends its side of a connection.
+enum class Ending
+{
+  Shutdown, // end of the data; the server goes on reading
+  Close,
+  Reset,
+};
+
+auto EndConnection(Tcp::socket& aSocket, Ending aEnding) -> void
+{
+  ErrorCode ignored; // the client may have closed the connection
+  if (aEnding == Ending::Shutdown) {
+    aSocket.shutdown(Tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  if (aEnding == Ending::Reset) {
+    aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  aSocket.close(ignored);
+}
+
+// Performs aCalls calls to a server that answers each request with aAnswer and
+// then ends the connection. Returns the results; every request must arrive on a
+// connection of its own.
+auto CallUnframed(const std::string& aAnswer, Ending aEnding, int aCalls)
+  -> std::vector<Result<Response, CallError>>
+{
+  asio::io_context loop;
+  std::set<std::uint16_t> ports;
+  RawServer server(
+    loop,
+    [&](RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+      CHECK(ports.insert(aSocket.remote_endpoint().port()).second);
+      auto bytes = aAnswer;
+      co_await aServer.Send(aSocket, std::move(bytes));
+      EndConnection(aSocket, aEnding);
+    });
+  const auto address = FreeAddress();
+  REQUIRE_FALSE(server.Listen(address));
+  ConnectionPool pool(loop);
+  std::vector<Result<Response, CallError>> results;
+  for (auto i = 0; i < aCalls; ++i) {
+    results.push_back(Call(loop, pool, address, seconds(20)));
+  }
+  CHECK(server.mRequests == static_cast<std::size_t>(aCalls));
+  return results;
+}
+
+// Heads of responses whose body ends with the connection, whatever else they
+// say about it.
+auto UnframedHeads() -> std::vector<std::string>
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string kept = ok + "Connection: keep-alive\r\n";
+  return {
+    ok + "\r\n",
+    ok + "Connection: close\r\n\r\n",
+    kept + "Keep-Alive: timeout=60\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n",
+  };
+}
+
+TEST_CASE(
+  "a body that ends with its connection is whole, the connection used up")
+{
+  // Guards against a body without a length or chunks that is taken for broken
+  // off or empty, and against the next request on its connection.
+  for (const auto& head : UnframedHeads()) {
+    for (const auto ending : { Ending::Shutdown, Ending::Close }) {
+      CAPTURE(head);
+      CAPTURE(static_cast<int>(ending));
+      for (const auto& body : { std::string("hello"), std::string() }) {
+        for (const auto& result : CallUnframed(head + body, ending, 3)) {
+          REQUIRE(result);
+          CHECK(result->body() == body);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a body without a length is an error if its connection is reset")
+{
+  // Guards against a reset after the last byte that was sent, which would make
+  // a body look whole.
+  for (const auto& head : UnframedHeads()) {
+    CAPTURE(head);
+    for (const auto& result : CallUnframed(head + "hello", Ending::Reset, 3)) {
+      REQUIRE_FALSE(result);
+      CHECK(result.error() == CallError::NoResponse);
+    }
+  }
+}
+
+TEST_CASE("a connection that ends inside a head is an error")
+{
+  // Guards against a head that is cut off before its last line break and passes
+  // for a response without a body.
+  for (const auto& head : UnframedHeads()) {
+    CAPTURE(head);
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      for (const auto ending : { Ending::Shutdown, Ending::Close }) {
+        const auto results = CallUnframed(head.substr(0, length), ending, 1);
+        REQUIRE_FALSE(results[0]);
+        CHECK(results[0].error() == CallError::NoResponse);
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace mangovalve
