mangovalved: a drain waits for accepted connections without an answer

What callers saw: a host of mangovalved that stops resets connections whose requests have been sent, without an answer or a refusal.

Cause: a drain counted as complete when no request was running. A request runs once a worker has read it. Connections that wait for a worker, or whose worker has not read yet, were not counted, and httplib's server closes them unread when it is stopped. An idle connection that occupies a worker is enough.

Change: the worker pool counts each connection from its acceptance to its first answer, and a drain is complete once that count is zero as well, or mFinishWithin is over. During this time such requests are refused as not run, with a retry time.

What remains: a connection in the listener's backlog at the moment of the stop; a caller that connects and stays silent delays the stop by the keep-alive timeout (5 s).

--- a/mangovalve/online/drain.cc
+++ b/mangovalve/online/drain.cc
@@ -15,7 +15,7 @@
   aState.mFinishBy = aNow + aPolicy.mFinishWithin;
 }
 
-auto Phase(const DrainSchedule& aState, std::size_t aRunning, TimePoint aNow)
+auto Phase(const DrainSchedule& aState, std::size_t aUnanswered, TimePoint aNow)
   -> DrainPhase
 {
   if (!aState.mStarted) {
@@ -24,7 +24,7 @@
   if (aNow < aState.mAcceptUntil) {
     return DrainPhase::NotReady;
   }
-  if (aRunning > 0 && aNow < aState.mFinishBy) {
+  if (aUnanswered > 0 && aNow < aState.mFinishBy) {
     return DrainPhase::Refusing;
   }
   return DrainPhase::Done;
--- a/mangovalve/online/frontend.cc
+++ b/mangovalve/online/frontend.cc
@@ -125,6 +125,46 @@
   Thread mThread;
 };
 
+auto CountScoped(const std::shared_ptr<std::atomic<std::size_t>>& aCount)
+  -> std::shared_ptr<void>
+{
+  ++*aCount;
+  return { nullptr, [aCount](void*) { --*aCount; } };
+}
+
+// Counts the connection of this worker until its first answer.
+thread_local std::shared_ptr<void> tUnansweredGuard;
+
+// Counts connections from their acceptance. A server that is stopped closes
+// those that still wait for a worker, although their requests may have been
+// sent.
+class CountingPool final : public httplib::TaskQueue
+{
+public:
+  CountingPool(std::size_t aWorkers,
+               std::shared_ptr<std::atomic<std::size_t>> aUnanswered)
+    : mPool(aWorkers)
+    , mUnanswered(std::move(aUnanswered))
+  {
+  }
+
+  auto enqueue(std::function<void()> aConnection) -> void override
+  {
+    mPool.enqueue([guard = CountScoped(mUnanswered),
+                   connection = std::move(aConnection)]() mutable {
+      tUnansweredGuard = std::move(guard);
+      connection();
+      tUnansweredGuard.reset();
+    });
+  }
+
+  auto shutdown() -> void override { mPool.shutdown(); }
+
+private:
+  httplib::ThreadPool mPool;
+  std::shared_ptr<std::atomic<std::size_t>> mUnanswered;
+};
+
 // Writes the buffered data. Returns false to close the connection without the
 // last chunk, so that the caller recognizes a truncated stream.
 auto WriteStream(StreamedAnswer& aStreamed, httplib::DataSink& aSink) -> bool
@@ -218,6 +258,7 @@
   , mOptions(aOptions)
   , mDispatcher(aPorts)
   , mRunning(std::make_shared<std::atomic<std::size_t>>(0))
+  , mUnanswered(std::make_shared<std::atomic<std::size_t>>(0))
 {
 }
 
@@ -227,6 +268,14 @@
                               httplib::Response& aResponse) {
     Handle(aRequest, aResponse);
   };
+  aServer.new_task_queue = [workers = mOptions.mWorkers,
+                            unanswered = mUnanswered] {
+    return new CountingPool(workers, unanswered);
+  };
+  aServer.set_post_routing_handler(
+    [](const httplib::Request&, httplib::Response&) {
+      tUnansweredGuard.reset();
+    });
   constexpr auto kEveryPath = "/.*";
   aServer.Get(kEveryPath, handler);
   aServer.Post(kEveryPath, handler);
@@ -244,7 +293,7 @@
 auto OnlineFrontend::CurrentDrainPhase() -> DrainPhase
 {
   const absl::MutexLock lock(&mMutex);
-  return Phase(mDrain, Running(), mPorts.mNow());
+  return Phase(mDrain, Running() + UnansweredConnections(), mPorts.mNow());
 }
 
 auto OnlineFrontend::Handle(const httplib::Request& aRequest,
@@ -264,9 +313,7 @@
                  std::chrono::milliseconds(100) });
     return;
   }
-  ++*mRunning;
-  const std::shared_ptr<void> runningGuard(
-    nullptr, [running = mRunning](void*) { --*running; });
+  const auto runningGuard = CountScoped(mRunning);
   auto span =
     StartSpan("caller",
               ParseTraceparent(aRequest.get_header_value("traceparent")),
--- a/mangovalve/online/frontend.h
+++ b/mangovalve/online/frontend.h
@@ -56,7 +56,8 @@
   OnlineFrontend(const OnlinePorts& aPorts,
                  OnlineFrontendOptions aOptions = {});
 
-  // Registers handlers for all paths without a handler.
+  // Registers handlers for all paths without a handler, and the worker pool
+  // that counts the server's connections.
   auto Register(httplib::Server& aServer) -> void;
 
   // Starts draining; see drain.h. The server may be stopped once
@@ -65,6 +66,12 @@
   auto CurrentDrainPhase() -> DrainPhase;
   // Requests that were received and are not completely answered.
   auto Running() const -> std::size_t { return mRunning->load(); }
+  // Accepted connections that wait for a worker, or whose first request has not
+  // been answered. Their requests may have been sent completely.
+  auto UnansweredConnections() const -> std::size_t
+  {
+    return mUnanswered->load();
+  }
 
 private:
   auto Handle(const httplib::Request& aRequest, httplib::Response& aResponse)
@@ -79,6 +86,8 @@
   Dispatcher mDispatcher;
   // Shared with streamed answers, which may outlive the frontend.
   std::shared_ptr<std::atomic<std::size_t>> mRunning;
+  // Shared with the server's worker pool.
+  std::shared_ptr<std::atomic<std::size_t>> mUnanswered;
   absl::Mutex mMutex;
   DrainSchedule mDrain;
 };
--- a/mangovalve/online/frontend_test.cc
+++ b/mangovalve/online/frontend_test.cc
@@ -418,5 +418,37 @@
   CHECK(body == "data: {}\n\ndata: [DONE]\n\n");
 }
 
+// Guards against a connection that waits for a worker and is closed by the stop
+// of the server, although its request has been sent.
+TEST_CASE("a drain is not complete while a connection waits for a worker")
+{
+  auto options = Harness::SmallFrontend();
+  options.mWorkers = 1;
+  options.mDrain.mAcceptFor = Duration::zero();
+  Harness harness({ Echo }, options);
+  // The only worker stays with this connection until its keep-alive timeout.
+  auto idle = harness.Client();
+  idle.set_keep_alive(true);
+  REQUIRE(idle.Get("/status"));
+  CHECK(harness.mFrontend->UnansweredConnections() == 0);
+  std::optional<httplib::Result> result;
+  Thread waiting("caller",
+                 [&] { result.emplace(harness.Post("/profile", "{}")); });
+  while (harness.mFrontend->UnansweredConnections() == 0) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
+  harness.mFrontend->Drain();
+  while (harness.mFrontend->CurrentDrainPhase() != DrainPhase::Done) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
+  harness.mServer.stop();
+  waiting.Join();
+  REQUIRE(*result);
+  CHECK((*result)->status == 503);
+  CHECK(ErrorField(*result, "reason") == "draining");
+  CHECK(ErrorField(*result, "run") == "not_run");
+  CHECK(harness.mFrontend->UnansweredConnections() == 0);
+}
+
 } // namespace
 } // namespace mangovalve
