mangovalved_platform: signals during the start stay pending

What callers saw: a SIGTERM or SIGHUP that comes after the daemon's servers listen and before its loop runs ends the process by the default action. Connections in the backlog are reset; a reload becomes an outage.

Cause: the handlers are installed by a task of the loop, long after the process has begun to listen.

Change: main blocks the three signals first and unblocks them on the loop, after the task that installs the handlers has run. A signal that has come meanwhile is then handled: a reload, or a drain with its answers.

The test runs the real process and holds it between listening and its loop by a full pipe on its standard output. What remains: a signal before main() begins, when nothing has been accepted.

--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -4,7 +4,8 @@
 // The settings file is named by --settings, or by the environment variable
 // MANGOVALVE_CONFIG. Exit codes: 0 after a drain, 1 if it could not start, 2
 // for bad usage or bad settings. SIGTERM drains. SIGHUP reads the settings file
-// again; a file with errors changes nothing.
+// again; a file with errors changes nothing. Signals that arrive during the
+// start are handled after it.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -36,6 +37,19 @@
   return path == nullptr ? "" : path;
 }
 
+// Blocks or unblocks the signals that ServingDaemon handles. While blocked,
+// they stay pending, so that none takes its default action before it is
+// handled.
+auto MaskHandledSignals(int aHow) -> void
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const auto signal : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(aHow, &signals, nullptr);
+}
+
 auto Serve(const std::string& aPath, const ServingSettings& aSettings) -> int
 {
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
@@ -57,6 +71,8 @@
       Severity::Error, "start_failed", { { "reason", started.error() } });
     return EXIT_FAILURE;
   }
+  // Runs after the tasks of Start(), one of which installs the handlers.
+  asio::post(loop, [] { MaskHandledSignals(SIG_UNBLOCK); });
   loop.run();
   // Connections and tasks end with the process; nothing of them must be kept.
   std::fflush(stdout);
@@ -89,6 +105,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+  mangovalve::MaskHandledSignals(SIG_BLOCK);
   gflags::SetUsageMessage(
     "mangovalved_platform --settings FILE [--check_settings]");
   gflags::SetVersionString(MANGOVALVE_VERSION);
