--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -78,6 +78,14 @@
   std::string mEndpoint;              // id of the last endpoint, for the log
 };
 
+// When the caller or the route gives up on the request.
+auto DeadlineOf(const RequestContext& aContext) -> TimePoint
+{
+  const auto& timeout = aContext.mRoute->mTimeout;
+  return aContext.mCaller->mArrivedAt +
+         std::min(aContext.mMetadata.mCallerTimeout.value_or(timeout), timeout);
+}
+
 enum class StepResult
 {
   Done,    // the step succeeded, or the caller has disconnected
@@ -674,10 +682,9 @@
   }
   context.mRoute = aAdmission.mRoute;
   context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
-  const auto timeout = std::min(
-    context.mMetadata.mCallerTimeout.value_or(context.mRoute->mTimeout),
-    context.mRoute->mTimeout);
-  if (!EndsBeforeExit(mState, context.mService, timeout, Clock::now())) {
+  context.mDeadline = DeadlineOf(context);
+  if (!EndsBeforeExit(
+        mState, context.mService, context.mDeadline, Clock::now())) {
     co_await refuse(RefusalReason::NotReady, kStoppingRetryAfter);
     co_return;
   }
@@ -704,7 +711,6 @@
       ? *team->second.mPriority
       : context.mRoute->mPriority;
   context.mLastEvent = context.mMetadata.mResumeAfter;
-  context.mDeadline = aCaller->mArrivedAt + timeout;
   if (mState.mExitBy) {
     context.mDeadline = std::min(context.mDeadline, *mState.mExitBy);
   }
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -269,18 +269,17 @@
 
 auto EndsBeforeExit(const ServingState& aState,
                     const std::string& aService,
-                    std::chrono::milliseconds aTimeout,
+                    TimePoint aDeadline,
                     TimePoint aNow) -> bool
 {
-  if (!aState.mExitBy) {
+  if (!aState.mExitBy || aDeadline <= *aState.mExitBy) {
     return true;
   }
-  const auto left = *aState.mExitBy - aNow;
   const auto pool = aState.mPools.find(aService);
   const std::chrono::duration<double> longest(
     pool == aState.mPools.end() ? 0 : pool->second.mLongestSeconds);
-  return left >= aTimeout ||
-         (longest.count() > 0 && left >= kLateRequestMargin * longest);
+  return longest.count() > 0 &&
+         *aState.mExitBy - aNow >= kLateRequestMargin * longest;
 }
 
 ScopedInFlight::ScopedInFlight(ServingState& aState,
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -106,11 +106,11 @@
   SuspectExchange mSuspectExchange; // of mSuspects
 };
 
-// Whether a request to the service that is allowed aTimeout would have ended
-// before this host exits, judged by the longest recent requests.
+// Whether a request to the service would have ended before this host exits:
+// by its deadline, or judged by the longest recent requests.
 auto EndsBeforeExit(const ServingState& aState,
                     const std::string& aService,
-                    std::chrono::milliseconds aTimeout,
+                    TimePoint aDeadline,
                     TimePoint aNow) -> bool;
 
 enum class Workload
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -341,7 +341,7 @@
   ServingState state(loop);
   const auto now = Clock::now();
   const auto ends = [&](milliseconds aTimeout) {
-    return EndsBeforeExit(state, "llm", aTimeout, now);
+    return EndsBeforeExit(state, "llm", now + aTimeout, now);
   };
   CHECK(ends(milliseconds(60000)));
   state.mExitBy = now + milliseconds(2000);
