Stand-in endpoint: crashes, on its own or on a part of a prompt

A crash closes the listener and all connections at once, without another byte. The endpoint listens again on the same address after a given time. Streams can send their head before the first event, as the engines of the platform do.

--- a/standins/common/endpoint_server.cc
+++ b/standins/common/endpoint_server.cc
@@ -5,6 +5,8 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 
 namespace mangovalve::standin {
 namespace {
@@ -26,6 +28,19 @@
   return response;
 }
 
+// Whether the prompt of the request has the part.
+auto HasPart(const Request& aRequest, const std::string& aPart) -> bool
+{
+  for (const auto part :
+       absl::StrSplit(HeaderText(aRequest, "Prompt-Prefix"), ',')) {
+    const auto id = absl::StripAsciiWhitespace(part);
+    if (id.substr(0, id.find(':')) == aPart) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 auto EventText(const std::string& aId, std::uint64_t aNumber) -> std::string
@@ -45,6 +60,7 @@
 EndpointServer::EndpointServer(asio::io_context& aLoop,
                                EndpointOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mLoop(aLoop)
   , mServer(
       aLoop,
       [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
@@ -56,9 +72,38 @@
 
 auto EndpointServer::Listen(const std::string& aAddress) -> ErrorCode
 {
+  mAddress = aAddress;
   return mServer.Listen(aAddress);
 }
 
+auto EndpointServer::Crash(TimePoint aUntil) -> void
+{
+  if (mDown) {
+    return;
+  }
+  mDown = true;
+  ++mCrashes;
+  mServer.StopAccepting();
+  ResetConnections();
+  mServer.CloseIdle();
+  Spawn(mLoop, Recover(aUntil));
+}
+
+auto EndpointServer::ResetConnections() -> void
+{
+  for (const auto& caller : mCallers) {
+    caller->Abort();
+  }
+}
+
+auto EndpointServer::Recover(TimePoint aAt) -> Task<>
+{
+  co_await SleepUntil(aAt);
+  mDown = false;
+  // The address was bound before, so only the system can refuse it.
+  static_cast<void>(mServer.Listen(mAddress));
+}
+
 auto EndpointServer::RunsOf(const std::string& aId) const -> std::size_t
 {
   return static_cast<std::size_t>(
@@ -83,6 +128,10 @@
 auto EndpointServer::Handle(CallerPtr aCaller,
                             std::shared_ptr<Request> aRequest) -> Task<>
 {
+  if (mDown) {
+    aCaller->Abort();
+    co_return;
+  }
   const auto id = HeaderText(*aRequest, "Request-Id");
   const auto expected = HeaderText(*aRequest, "Expect-Instance");
   if (!expected.empty() && expected != mOptions.mId) {
@@ -101,7 +150,9 @@
   }
   ++mRunning;
   mMostRunning = std::max(mMostRunning, mRunning);
+  mCallers.insert(aCaller);
   co_await Run(aCaller, *aRequest);
+  mCallers.erase(aCaller);
   --mRunning;
   mCancelled += aCaller->Disconnected() ? 1 : 0;
 }
@@ -150,13 +201,23 @@
     absl::SimpleAtoi(HeaderText(aRequest, "Last-Event-Id"), &last));
   auto head = Head(aRequest, 200);
   head.set(http::field::content_type, "text/event-stream");
-  auto begun = false;
+  auto begun = mOptions.mHeadFirst;
+  if (begun) {
+    std::string nothing;
+    co_await aCaller->BeginChunks(head, std::move(nothing));
+  }
+  const auto deadly =
+    !mFaults.mDeadlyPart.empty() && HasPart(aRequest, mFaults.mDeadlyPart);
   std::uint32_t sent = 0;
   for (auto number = last + 1; number <= mOptions.mEvents; ++number) {
     co_await SleepUntil(Clock::now() + mOptions.mPerEvent);
     if (aCaller->Disconnected()) {
       co_return;
     }
+    if (deadly) {
+      Crash(Clock::now() + mOptions.mRecovery);
+      co_return;
+    }
     auto event =
       absl::StrCat("id: ", number, "\ndata: ", EventText(id, number), "\n\n");
     const auto cut = mFaults.mCutAfter > 0 && sent >= mFaults.mCutAfter;
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -21,7 +21,9 @@
   bool mStreams = true;      // a model engine; otherwise a plain service
   std::uint32_t mEvents = 8; // of a whole stream
   Duration mPerEvent = std::chrono::milliseconds(4);
-  Duration mWork = std::chrono::milliseconds(10); // of a plain request
+  Duration mRecovery = std::chrono::milliseconds(300); // after a crash
+  Duration mWork = std::chrono::milliseconds(10);      // of a plain request
+  bool mHeadFirst = false; // sends the head of a stream before its first event
 };
 
 struct EndpointFaults
@@ -34,6 +36,9 @@
   bool mRefuse = false;            // refuses as not run
   bool mUnsigned = false;          // successes without a signature
   std::set<std::string> mHopeless; // ids answered as impossible
+  // Crashes instead of sending the first event of a request whose prompt has
+  // this part, unless it is empty.
+  std::string mDeadlyPart;
 };
 
 struct EndpointRun
@@ -52,6 +57,13 @@
 
   auto Listen(const std::string& aAddress) -> ErrorCode;
 
+  // Closes the listener and all connections at once, without another byte, and
+  // listens again at aUntil.
+  auto Crash(TimePoint aUntil) -> void;
+
+  // Resets the connections on which requests run.
+  auto ResetConnections() -> void;
+
   // Times that the request with this id was run.
   auto RunsOf(const std::string& aId) const -> std::size_t;
 
@@ -61,14 +73,20 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mMostRunning = 0;
   std::uint32_t mCancelled = 0; // runs whose sender left before their end
+  std::uint32_t mCrashes = 0;
 
 private:
   auto Handle(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
   auto Run(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   auto Stream(CallerPtr aCaller, const Request& aRequest) -> Task<>;
+  auto Recover(TimePoint aAt) -> Task<>;
   auto Head(const Request& aRequest, unsigned aStatus) const -> ResponseHead;
 
+  asio::io_context& mLoop;
   AsyncHttpServer mServer;
+  std::string mAddress;
+  std::set<CallerPtr> mCallers; // with a running request
+  bool mDown = false;           // between a crash and the recovery
 };
 
 // The data of event aNumber of the request, the same at every endpoint.
