Refuse requests whose prompt crashes endpoints

What callers saw: a request with a certain part in its prompt crashed the engine that began to answer it, and the relay sent it to the next engine at once, which crashed too. Each such request cost all its attempts, and the requests that were at those engines lost theirs.

Cause: the relay took every lost connection for a failure of the endpoint. Nothing connected the crashes with what the requests had in common.

Change: an attempt whose connection the endpoint ended before a whole event is examined. The endpoint counts as crashed if its address refuses a new connection; a reset, a time-out or an endpoint that is leaving accuses nobody. The run is then evidence for CrashSuspects. A suspected request is not retried after a crash, a bystander is. A quarantined request is refused as not run before it takes a token, and again right before it is sent.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -10,6 +10,7 @@
 #include "mangovalve/loop/conditional_timeout.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/online/slot_queue.h"
+#include "mangovalve/serving/endpoint_crash.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
@@ -75,7 +76,10 @@
   std::uint64_t mForwardedEvents = 0; // without comments
   TimePoint mAttemptAt{};             // start of the current attempt
   std::uint64_t mEventsBefore = 0;    // mForwardedEvents at that time
-  std::string mEndpoint;              // id of the last endpoint, for the log
+  bool mAnswerBegun = false;          // by the endpoint, in this attempt
+  // When the endpoint ended the connection before it had begun to answer.
+  std::optional<TimePoint> mLostAt;
+  std::string mEndpoint; // id of the last endpoint, for the log
 };
 
 enum class StepResult
@@ -86,6 +90,33 @@
   NoRetry, // no further attempt is allowed or useful
 };
 
+// When the caller stops waiting for its answer.
+auto DeadlineOf(const RequestContext& aContext) -> TimePoint
+{
+  const auto& timeout = aContext.mRoute->mTimeout;
+  return aContext.mCaller->mArrivedAt +
+         std::min(aContext.mMetadata.mCallerTimeout.value_or(timeout), timeout);
+}
+
+// Refuses a quarantined request, of which nothing has been sent. Its caller
+// should return after the quarantine, and not while it could still have waited.
+auto RefuseQuarantined(const Protocol& aProtocol,
+                       const RequestContext& aContext,
+                       TimePoint aUntil) -> Task<>
+{
+  LogEvent(Severity::Info,
+           "request_refused",
+           { { "id", aContext.mMetadata.mId },
+             { "team", aContext.mTeam },
+             { "reason", "quarantined" },
+             { "parts", FormatHashes(aContext.mMetadata.mSharedParts) } });
+  const auto retryAfter = std::chrono::ceil<milliseconds>(
+    std::max(aUntil, DeadlineOf(aContext)) - Clock::now());
+  auto response = aProtocol.mRefuse(
+    RefusalReason::Quarantined, aContext.mMetadata.mId, retryAfter);
+  co_await aContext.mCaller->Reply(std::move(response));
+}
+
 // Relays one request. Holds the dependencies of its steps.
 class RelayedRequest
 {
@@ -146,6 +177,16 @@
     -> Task<>;
   auto Log(std::string_view aOutcome) const -> void;
   auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
+  auto NoteAnswerBegun() -> void;
+  // Notes the error of a read or write, if the endpoint has caused it.
+  auto NoteError(const ErrorCode& aError) -> void;
+  // Examines whether the endpoint of the last attempt has crashed, and if so,
+  // whether the request may be the cause.
+  auto ExamineLoss(EndpointPtr aEndpoint) -> Task<StepResult>;
+  // End of the quarantine of the request, if there is one.
+  auto QuarantinedUntil() const -> std::optional<TimePoint>;
+  // Returns the token of a request that has not run.
+  auto RefundRate() -> void;
 
   ServingState& mState;
   const Protocol& mProtocol;
@@ -188,6 +229,39 @@
   RecordExchange(mState, aEndpoint, ExchangeResult::Failed);
 }
 
+auto RelayedRequest::NoteAnswerBegun() -> void
+{
+  mContext.mAnswerBegun = true;
+  RecordStart(mState.mSuspects, mContext.mMetadata.mSharedParts, Clock::now());
+}
+
+auto RelayedRequest::NoteError(const ErrorCode& aError) -> void
+{
+  if (!mContext.mAnswerBegun && EndedByEndpoint(aError)) {
+    mContext.mLostAt = Clock::now();
+  }
+}
+
+auto RelayedRequest::ExamineLoss(EndpointPtr aEndpoint) -> Task<StepResult>
+{
+  LostRun run{ mContext.mMetadata.mId,
+               *mContext.mLostAt,
+               mContext.mMetadata.mSharedParts };
+  const auto crashed =
+    co_await RecordIfCrashed(mState, std::move(aEndpoint), std::move(run));
+  const auto suspected = crashed && IsSuspected(mState.mSuspects,
+                                                mContext.mMetadata.mSharedParts,
+                                                mState.mSuspectPolicy,
+                                                Clock::now());
+  co_return suspected ? StepResult::NoRetry : StepResult::Failed;
+}
+
+auto RelayedRequest::QuarantinedUntil() const -> std::optional<TimePoint>
+{
+  return mangovalve::QuarantinedUntil(
+    mState.mSuspects, mContext.mMetadata.mSharedParts, Clock::now());
+}
+
 auto RelayedRequest::MayRetryAfterRun() const -> bool
 {
   return MayRepeat(*mContext.mRoute) &&
@@ -258,7 +332,10 @@
       co_return;
     }
     mContext.mEndpoint = slot.mEndpoint->mRegistration.mId;
-    const auto step = co_await Attempt(slot.mEndpoint);
+    auto step = co_await Attempt(slot.mEndpoint);
+    if (step == StepResult::Failed && mContext.mLostAt) {
+      step = co_await ExamineLoss(slot.mEndpoint);
+    }
     if (step == StepResult::Done) {
       Log(mContext.mCaller->Disconnected() ? "caller_gone" : "answered");
       co_return;
@@ -270,6 +347,13 @@
                         (step == StepResult::Failed && MayRetryAfterRun()));
     if (!retry) {
       const auto notRun = mContext.mAttempts == 0;
+      const auto until = QuarantinedUntil();
+      if (notRun && until) {
+        RefundRate();
+        Log("quarantined");
+        co_await RefuseQuarantined(mProtocol, mContext, *until);
+        co_return;
+      }
       const auto timedOut = Clock::now() >= mContext.mDeadline;
       co_await Finish(notRun     ? RefusalReason::Overloaded
                       : timedOut ? RefusalReason::TimedOut
@@ -280,16 +364,21 @@
   }
 }
 
+auto RelayedRequest::RefundRate() -> void
+{
+  const auto rate = mState.mRates.find(mContext.mTeam);
+  if (rate != mState.mRates.end()) {
+    Refund(rate->second, Clock::now());
+  }
+}
+
 auto RelayedRequest::Finish(RefusalReason aRefusal,
                             std::optional<milliseconds> aRetryAfter) -> Task<>
 {
   const auto notRun = aRefusal == RefusalReason::Overloaded ||
                       aRefusal == RefusalReason::NotReady;
   if (notRun && mContext.mAttempts == 0) {
-    const auto rate = mState.mRates.find(mContext.mTeam);
-    if (rate != mState.mRates.end()) {
-      Refund(rate->second, Clock::now());
-    }
+    RefundRate();
   }
   Log(mContext.mCaller->Disconnected() ? "caller_gone"
       : notRun                         ? "refused_not_run"
@@ -329,6 +418,14 @@
     RecordExchange(mState, *aEndpoint, ExchangeResult::Refused);
     co_return StepResult::NotRun;
   }
+  if (QuarantinedUntil()) {
+    // A connection that was idle before stays in use.
+    const auto usableUntil = (*connection)->mUsableUntil;
+    mState.mPool.Release(std::move(*connection),
+                         usableUntil,
+                         IdleConnectionLimit(mState, *aEndpoint));
+    co_return StepResult::NoRetry;
+  }
   auto& stream = (*connection)->mStream;
   mContext.mCaller->mOnDisconnect = [&stream] { stream.close(); };
   const auto startedAt = Clock::now();
@@ -377,9 +474,12 @@
   ++mContext.mAttempts;
   mContext.mAttemptAt = now;
   mContext.mEventsBefore = mContext.mForwardedEvents;
+  mContext.mAnswerBegun = false;
+  mContext.mLostAt.reset();
   const auto error =
     co_await SendRequest(aConnection, request, FirstByteDeadline());
   if (error && !mContext.mCaller->Disconnected()) {
+    NoteError(error);
     NoteFailure(aEndpoint, absl::StrCat("send: ", error.message()));
     co_return StepResult::Failed;
   }
@@ -418,6 +518,7 @@
       co_return StepResult::Done;
     }
     if (error) {
+      NoteError(error);
       // The endpoint may have closed a reused connection before it received the
       // request.
       if (aConnection.mReused && error == http::error::end_of_stream) {
@@ -446,6 +547,7 @@
     const auto bodyError =
       co_await DiscardBody(aConnection, *aParser, FirstByteDeadline());
     if (bodyError) {
+      NoteError(bodyError);
       break;
     }
   }
@@ -512,10 +614,15 @@
     co_return StepResult::Done;
   }
   if (error) {
+    NoteError(error);
     NoteFailure(aEndpoint, absl::StrCat("body: ", error.message()));
     co_return StepResult::Failed;
   }
-  const auto failed = aParser.get().result_int() >= 500;
+  const auto status = aParser.get().result_int();
+  const auto failed = status >= 500;
+  if (status >= 200 && status < 300) {
+    NoteAnswerBegun();
+  }
   RecordExchange(
     mState, aEndpoint, failed ? ExchangeResult::Failed : ExchangeResult::Good);
   Response response;
@@ -539,10 +646,15 @@
       co_return StepResult::Done;
     }
     if (!bytes) {
+      NoteError(bytes.error());
       NoteFailure(aEndpoint, absl::StrCat("stream: ", bytes.error().message()));
       co_return StepResult::Failed;
     }
     const auto events = SplitEvents(splitter, *bytes);
+    if (!mContext.mAnswerBegun &&
+        std::any_of(events.begin(), events.end(), IsProgress)) {
+      NoteAnswerBegun();
+    }
     if (IsOverlong(splitter)) {
       NoteFailure(aEndpoint, "stream: event exceeds the size limit");
       co_return StepResult::Failed;
@@ -560,6 +672,9 @@
     }
   }
   if (!splitter.mPartial.empty()) {
+    if (aParser.need_eof()) {
+      NoteError(http::error::partial_message);
+    }
     NoteFailure(aEndpoint, "stream: ended within an event");
     co_return StepResult::Failed;
   }
@@ -672,6 +787,12 @@
     co_return;
   }
   context.mRoute = aAdmission.mRoute;
+  // Before the rate, so that the request takes no token.
+  if (const auto until = QuarantinedUntil(
+        mState.mSuspects, context.mMetadata.mSharedParts, Clock::now())) {
+    co_await RefuseQuarantined(mProtocol, context, *until);
+    co_return;
+  }
   const auto rate = mState.mRates.find(context.mTeam);
   const auto now = Clock::now();
   if (rate != mState.mRates.end() && !Admit(rate->second, now)) {
@@ -696,10 +817,7 @@
       : context.mRoute->mPriority;
   context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
   context.mLastEvent = context.mMetadata.mResumeAfter;
-  const auto callerTimeout =
-    context.mMetadata.mCallerTimeout.value_or(context.mRoute->mTimeout);
-  context.mDeadline =
-    aCaller->mArrivedAt + std::min(callerTimeout, context.mRoute->mTimeout);
+  context.mDeadline = DeadlineOf(context);
   RelayedRequest relayed(mState, mProtocol, mPolicy, context);
   co_await relayed.Run();
 }
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -105,6 +105,7 @@
   OverRate,       // not executed
   Overloaded,     // not executed
   NotReady,       // not executed
+  Quarantined,    // not executed; it may crash endpoints
   EndpointFailed, // may have been executed
   TimedOut,       // may have been executed
 };
