Hold back batch items whose prompt crashes endpoints

What callers saw: an item with a certain part in its prompt crashed the engine that began to answer it, and was sent to the next one at once, until its job was abandoned. Requests and items at those engines lost their attempts.

Cause: as for requests, a lost connection was a failure of the endpoint only.

Change: lost runs of items are examined like those of requests. A suspected item waits three seconds after a crash instead of 200 ms. A quarantined one is not started, nor sent if the quarantine began after its start; its delay keeps it out of the selection of the next items, so those behind it start. It ends when it may be abandoned, as before.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -9,6 +9,7 @@
 
 #include "mangovalve/base/id.h"
 #include "mangovalve/online/event_stream.h"
+#include "mangovalve/serving/endpoint_crash.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
@@ -18,6 +19,10 @@
 // Items that one daemon starts on a service in one interval, at most.
 constexpr std::size_t kMaxStarts = 8;
 
+// Times per interval that the next items of a partition are selected again
+// because some of the selected ones were quarantined.
+constexpr int kMaxSelections = 16;
+
 // Largest output of an item; callers accept result pages of 1 MB.
 constexpr std::size_t kMaxOutputBytes = 900UL << 10U;
 
@@ -229,6 +234,40 @@
   }
 }
 
+auto ItemRunner::IsQuarantined(const RunnableItem& aItem, TimePoint aNow) const
+  -> bool
+{
+  if (mState.mSuspects.mQuarantines.empty()) {
+    return false;
+  }
+  const auto& item = aItem.mJob->mItems[aItem.mIndex];
+  return mangovalve::IsQuarantined(
+    mState.mSuspects, mProtocol.mItemSharedParts(item.mSubmitted), aNow);
+}
+
+auto ItemRunner::NextItems(const JobPartitionPtr& aPartition,
+                           const std::string& aService,
+                           const SchedulingInput& aInput)
+  -> std::vector<RunnableItem>
+{
+  for (auto selection = 0; selection < kMaxSelections; ++selection) {
+    auto items = RunnableItems(
+      aPartition->Jobs(), *mState.mDocument, aService, kMaxStarts, aInput);
+    const auto heldBack = std::erase_if(items, [&](const RunnableItem& aItem) {
+      const auto quarantined = IsQuarantined(aItem, aInput.mNow);
+      if (quarantined) {
+        aItem.mJob->mItems[aItem.mIndex].mNotBefore =
+          aInput.mNow + mPolicy.mQuarantineCheckInterval;
+      }
+      return quarantined;
+    });
+    if (heldBack == 0 || !items.empty()) {
+      return items;
+    }
+  }
+  return {};
+}
+
 auto ItemRunner::StartItemsOf(const std::string& aService,
                               ServicePool& aPool,
                               TimePoint aNow) -> void
@@ -237,8 +276,7 @@
   const SchedulingInput input{ aNow, WallNow(), mEstimate };
   std::size_t late = 0;
   for (const auto& partition : mPorts.mPartitions()) {
-    for (auto& item : RunnableItems(
-           partition->Jobs(), *mState.mDocument, aService, kMaxStarts, input)) {
+    for (auto& item : NextItems(partition, aService, input)) {
       late += item.mLate ? 1 : 0;
       items.emplace_back(std::move(item), partition);
     }
@@ -312,6 +350,9 @@
     outcome = co_await Exchange(aRun);
   }
   aRun->mStop = nullptr;
+  if (aRun->mLostAt) {
+    co_await ExamineLoss(aRun);
+  }
   mRunning.remove(aRun);
   auto& item = job->mItems[index];
   if (aRun->mEvents > 0) {
@@ -374,6 +415,38 @@
   return RunOutcome::Interrupted;
 }
 
+auto ItemRunner::NoteAnswerBegun(RunningItem& aRun) -> void
+{
+  aRun.mAnswerBegun = true;
+  const auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex];
+  auto& suspects = mState.mSuspects;
+  if (!suspects.mStarts.empty()) {
+    RecordStart(
+      suspects, mProtocol.mItemSharedParts(item.mSubmitted), Clock::now());
+  }
+}
+
+auto ItemRunner::NoteError(RunningItem& aRun, const ErrorCode& aError) -> void
+{
+  if (!aRun.mAnswerBegun && !aRun.mStopped && EndedByEndpoint(aError)) {
+    aRun.mLostAt = Clock::now();
+  }
+}
+
+auto ItemRunner::ExamineLoss(RunningItemPtr aRun) -> Task<>
+{
+  auto& item = aRun->mItem.mJob->mItems[aRun->mItem.mIndex];
+  const auto parts = mProtocol.mItemSharedParts(item.mSubmitted);
+  LostRun run{ item.mSubmitted.id, *aRun->mLostAt, parts };
+  const auto crashed =
+    co_await RecordIfCrashed(mState, aRun->mEndpoint, std::move(run));
+  const auto now = Clock::now();
+  if (crashed &&
+      IsSuspected(mState.mSuspects, parts, mState.mSuspectPolicy, now)) {
+    item.mNotBefore = now + mPolicy.mSuspectedRetryDelay;
+  }
+}
+
 auto ItemRunner::Exchange(RunningItemPtr aRun) -> Task<RunOutcome>
 {
   auto& item = aRun->mItem.mJob->mItems[aRun->mItem.mIndex];
@@ -390,6 +463,15 @@
   if (aRun->mStopped || aRun->mItem.mJob->mEnded) {
     co_return RunOutcome::Interrupted;
   }
+  if (IsQuarantined(aRun->mItem, Clock::now())) {
+    item.mNotBefore = Clock::now() + mPolicy.mQuarantineCheckInterval;
+    // A connection that was idle before stays in use.
+    const auto usableUntil = (*connection)->mUsableUntil;
+    mState.mPool.Release(std::move(*connection),
+                         usableUntil,
+                         IdleConnectionLimit(mState, endpoint));
+    co_return RunOutcome::Interrupted;
+  }
   auto& stream = (*connection)->mStream;
   aRun->mStop = [&stream] { stream.close(); };
   DispatchMetadata dispatch;
@@ -407,6 +489,7 @@
   }
   auto outcome = RunOutcome::Interrupted;
   if (error) {
+    NoteError(*aRun, error);
     outcome = RecordFailure(*aRun, error.message());
   } else {
     outcome = co_await ReadEvents(*aRun, **connection, *parser);
@@ -467,9 +550,14 @@
       co_return RunOutcome::Interrupted;
     }
     if (!bytes) {
+      NoteError(aRun, bytes.error());
       co_return RecordFailure(aRun, bytes.error().message());
     }
     const auto events = SplitEvents(splitter, *bytes);
+    if (!aRun.mAnswerBegun &&
+        std::any_of(events.begin(), events.end(), IsProgress)) {
+      NoteAnswerBegun(aRun);
+    }
     if (IsOverlong(splitter)) {
       co_return RecordFailure(aRun, "event exceeds the size limit");
     }
@@ -488,6 +576,9 @@
     }
   }
   if (!splitter.mPartial.empty()) {
+    if (aParser.need_eof()) {
+      NoteError(aRun, http::error::partial_message);
+    }
     co_return RecordFailure(aRun, "stream ended within an event");
   }
   RecordExchange(mState, *aRun.mEndpoint, ExchangeResult::Good);
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <list>
+#include <optional>
 #include <vector>
 
 #include "mangovalve/batch/job_partition.h"
@@ -26,6 +27,10 @@
   Duration mConnectTimeout = std::chrono::milliseconds(400);
   // Delay before an item is sent again after a refusal or a failure.
   Duration mRetryDelay = std::chrono::milliseconds(200);
+  // The same after a crash of the endpoint that the item may have caused.
+  Duration mSuspectedRetryDelay = std::chrono::seconds(3);
+  // Interval at which the quarantine of an item is checked.
+  Duration mQuarantineCheckInterval = std::chrono::seconds(1);
   // Interval of the batch_load log events, while items wait.
   Duration mLogInterval = std::chrono::seconds(1);
 };
@@ -73,6 +78,9 @@
     TimePoint mStartedAt;
     TimePoint mDeadline;       // when its item may be abandoned
     std::uint32_t mEvents = 0; // received by this run
+    bool mAnswerBegun = false; // by the endpoint
+    // When the endpoint ended the connection before it had begun to answer.
+    std::optional<TimePoint> mLostAt;
     bool mStopped = false;
     std::function<void()> mStop; // closes the connection
   };
@@ -98,6 +106,18 @@
   auto ReadEvents(RunningItem& aRun,
                   ClientConnection& aConnection,
                   ResponseParser& aParser) -> Task<RunOutcome>;
+  // Notes that the endpoint has begun to answer.
+  auto NoteAnswerBegun(RunningItem& aRun) -> void;
+  // Notes the error of a read or write, if the endpoint has caused it.
+  static auto NoteError(RunningItem& aRun, const ErrorCode& aError) -> void;
+  // Examines whether the endpoint has crashed, and if so, whether the item may
+  // be the cause.
+  auto ExamineLoss(RunningItemPtr aRun) -> Task<>;
+  auto IsQuarantined(const RunnableItem& aItem, TimePoint aNow) const -> bool;
+  // The items of a partition to start next. Quarantined ones are held back.
+  auto NextItems(const JobPartitionPtr& aPartition,
+                 const std::string& aService,
+                 const SchedulingInput& aInput) -> std::vector<RunnableItem>;
   auto Stop(RunningItem& aRun) -> void;
   // The items on an endpoint that may be preempted, those to preempt first at
   // the front. Urgent items are not among them.
