Soak of planned stops with daemons in processes of their own

mangovalve_soak starts real daemons, plays stops, reloads and new documents in series that overlap, and checks what callers got against what the endpoints ran. A connection that ends without a response is a loss if the host had read the whole request: then its end is not followed by a reset, which needs no clock. How late a reset comes depends on the load of the machine; it is judged in runs by hand (--late_reset_ms), not under ctest.

--- /dev/null
+++ b/standins/soak/checker.h
@@ -0,0 +1,59 @@
+// Judges what a caller got for one request against what the endpoints ran.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "mangovalve/base/time.h"
+
+namespace mangovalve::standin {
+
+// How the exchange of one request ended for its caller.
+enum class Ending
+{
+  NoConnection, // nothing was sent
+  Unsent,       // the connection ended before the last byte had been written
+  Answered,     // a complete response
+  Reset,        // no complete response; the peer reset the connection
+  Closed,       // no complete response; the peer had read all bytes and closed
+  Overdue,      // neither a response nor an end of the connection
+};
+
+struct Attempt
+{
+  std::string mId;
+  std::string mHost;
+  bool mMayRepeat = true; // may run more than once
+  bool mFirst = false;    // first request of its connection
+  Ending mEnding = Ending::NoConnection;
+  bool mBegun = false;  // part of a response has arrived
+  unsigned mStatus = 0; // Answered only
+  std::string mProblem; // what is wrong with a response; empty: nothing
+  TimePoint mSentAt{};  // the last byte had been written
+  TimePoint mEndedAt{};
+  // Part of the time between the two in which this process was not running.
+  Duration mStalled{};
+};
+
+struct JudgeRules
+{
+  // A connection that is reset later than this after the last byte had been
+  // accepted by the host. Zero: not judged.
+  std::chrono::milliseconds mLateReset{ 200 };
+};
+
+// Whether the status promises that a request has not run and never will.
+auto IsRefusal(unsigned aStatus) -> bool;
+
+// The rule that the attempt broke, with its figures; nothing if it broke none.
+// aRuns is how often the endpoints have run or begun it.
+auto Judge(const Attempt& aAttempt, std::size_t aRuns, const JudgeRules& aRules)
+  -> std::optional<std::string>;
+
+// What is wrong with a whole stream of aEvents events; empty: nothing.
+auto StreamProblem(const std::string& aId,
+                   std::uint32_t aEvents,
+                   const std::string& aBody) -> std::string;
+
+} // namespace mangovalve::standin
--- /dev/null
+++ b/standins/soak/planned_work.cc
@@ -0,0 +1,282 @@
+// Planned work of a soak: stops, changed settings and new documents.
+#include <csignal>
+#include <fstream>
+
+#include <absl/strings/str_cat.h>
+
+#include "platform/names.h"
+#include "standins/soak/soak.h"
+
+namespace mangovalve::standin {
+namespace {
+
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+auto Route(const std::string& aName,
+           const std::string& aKind,
+           const std::string& aService,
+           std::uint64_t aTimeoutMs) -> Json
+{
+  return { { "name", aName },
+           { "host", "h.example" },
+           { "pathPrefix", "/" + aName + "/" },
+           { "kind", aKind },
+           { "timeoutMs", aTimeoutMs },
+           { "sloMs", 300 },
+           { "service", aService },
+           { "maxAttempts", 3 },
+           { "gapAimMs", 400 } };
+}
+
+auto BatchRoute() -> Json
+{
+  constexpr std::uint64_t kTimeoutMs = 5000;
+  auto route = Route("lex", "batch", "quick", kTimeoutMs);
+  route["dueMs"] = 60000;
+  route["maxQueueS"] = 300;
+  route["maxQueuedTokens"] = 0;
+  return route;
+}
+
+} // namespace
+
+// The file is replaced at once, as a platform does it.
+auto Soak::WriteSettings(const SoakHost& aHost, int aKeepResults) -> void
+{
+  const auto& process = aHost.mProcess;
+  const auto temporary = process.mSettingsPath + ".new";
+  {
+    std::ofstream file(temporary);
+    file << "[host]\nname = \"" << process.mName
+         << "\"\nfailure_domain = \"a\"\n[listen]\ncallers = \""
+         << process.mCallers << "\"\nreadiness = \"" << process.mReadiness
+         << "\"\npeers = \"" << process.mPeers << "\"\n[store]\naddress = \""
+         << Address(mOptions.mDaemons, 21010)
+         << "\"\n[shutdown]\ngrace_seconds = 8\n[batch]\n"
+         << "keep_results_seconds = " << aKeepResults << "\n";
+  }
+  std::rename(temporary.c_str(), process.mSettingsPath.c_str());
+}
+
+auto Soak::Publish() -> void
+{
+  mVersion += 1 + UniformBelow(mRandom, 3);
+  auto routes = Json::array();
+  constexpr std::uint64_t kTimeoutMs = 6000;
+  constexpr std::uint64_t kTimeoutRange = 3000;
+  for (const auto& route : SoakRoutes()) {
+    routes.push_back(Route(route.mName,
+                           route.mKind,
+                           route.mService,
+                           kTimeoutMs + UniformBelow(mRandom, kTimeoutRange)));
+    routes.back()["resumable"] = route.mResumable;
+  }
+  routes.push_back(BatchRoute());
+  for (const auto& name : mExtraRoutes) {
+    routes.push_back(Route(name, "idempotent", "app", kTimeoutMs));
+  }
+  auto services = Json::array();
+  for (const auto* name : { "quick", "slow", "app", "work" }) {
+    services.push_back({ { "name", name }, { "maxConns", 1000 } });
+  }
+  const Json document = { { "version", mVersion },
+                          { "routes", routes },
+                          { "services", services },
+                          { "tenants",
+                            Json::array({ { { "name", "red" },
+                                            { "apiKeys", { "red-key" } },
+                                            { "ratePerS", 0 },
+                                            { "burst", 0 } } }) } };
+  mStore.Put(platform::kConfigurationTopic,
+             platform::kConfigurationKey,
+             document.dump());
+  ++mCounts["documents"];
+}
+
+auto Soak::DoPlannedWork() -> Task<>
+{
+  const auto until = Clock::now() + mOptions.mPlannedWork;
+  constexpr auto kMostPause = milliseconds(1200);
+  constexpr std::uint64_t kStops = 50; // percent
+  constexpr std::uint64_t kReloads = 50;
+  if (mOptions.mSlowStore) {
+    Spawn(mLoop, DisturbStore());
+  }
+  while (Clock::now() < until) {
+    if (Chance(mRandom, kStops)) {
+      StopSome();
+    } else if (Chance(mRandom, kReloads)) {
+      co_await ReloadSome();
+    } else {
+      co_await PublishSeries();
+    }
+    co_await SleepUntil(Clock::now() + RandomTime(mRandom, kMostPause));
+  }
+  for (auto& host : mHosts) {
+    host.mStopAfterStart = StopAfterStart::None;
+  }
+  mStore.mFaults = {};
+}
+
+// Some callers that are idle on the host's connections send right then, others
+// when the host is about to close them.
+auto Soak::Terminate(SoakHost& aHost) -> void
+{
+  constexpr auto kSoon = milliseconds(30);
+  constexpr auto kClosing = milliseconds(2200);
+  constexpr auto kClosingRange = milliseconds(300);
+  for (auto& caller : mCallers) {
+    if (&mHosts[caller.mHost] != &aHost || Chance(mRandom, 30)) {
+      continue;
+    }
+    const auto delay = Chance(mRandom, 50)
+                         ? RandomTime(mRandom, kSoon)
+                         : kClosing + RandomTime(mRandom, kClosingRange);
+    caller.mIdleUntil = Clock::now() + delay;
+    caller.mWake.cancel();
+  }
+  SignalProcess(aHost.mProcess, SIGTERM);
+}
+
+auto Soak::StopSome() -> void
+{
+  constexpr std::uint64_t kAllAtOnce = 5; // percent
+  constexpr std::uint64_t kSecondSignal = 25;
+  constexpr std::uint64_t kAgain = 35;
+  constexpr auto kMostDelay = milliseconds(1500);
+  constexpr auto kMostSecond = milliseconds(3000);
+  const auto count = Chance(mRandom, kAllAtOnce)
+                       ? mHosts.size()
+                       : 1 + UniformBelow(mRandom, mHosts.size());
+  const auto together = Chance(mRandom, 50);
+  for (std::size_t i = 0; i < count; ++i) {
+    auto& host = mHosts[UniformBelow(mRandom, mHosts.size())];
+    if (Chance(mRandom, kAgain)) {
+      host.mStopAfterStart = Chance(mRandom, 70) ? StopAfterStart::WhenReady
+                                                 : StopAfterStart::AtOnce;
+    }
+    const auto delay = together ? Duration{} : RandomTime(mRandom, kMostDelay);
+    const auto second = Chance(mRandom, kSecondSignal)
+                          ? RandomTime(mRandom, kMostSecond)
+                          : Duration{};
+    Spawn(mLoop, Stop(host, delay, second));
+  }
+}
+
+// A positive aSecond is the time until a second signal to the same process.
+auto Soak::Stop(SoakHost& aHost, Duration aDelay, Duration aSecond) -> Task<>
+{
+  const auto pid = aHost.mProcess.mPid;
+  co_await SleepUntil(Clock::now() + aDelay);
+  if (pid < 0 || aHost.mProcess.mPid != pid || mDaemonsEnd) {
+    co_return;
+  }
+  Terminate(aHost);
+  if (mOptions.mPauses) {
+    Spawn(mLoop, Pause(aHost));
+  }
+  if (aSecond > Duration{}) {
+    co_await SleepUntil(Clock::now() + aSecond);
+    if (aHost.mProcess.mPid == pid) {
+      ++mCounts["second_signals"];
+      SignalProcess(aHost.mProcess, SIGTERM);
+    }
+  }
+}
+
+// Holds the process while a stop is in progress, as a busy machine does, mostly
+// when it is about to close its connections.
+auto Soak::Pause(SoakHost& aHost) -> Task<>
+{
+  constexpr auto kClosing = milliseconds(2200);
+  constexpr auto kClosingRange = milliseconds(150);
+  constexpr auto kMostDelay = milliseconds(5000);
+  constexpr auto kMostPause = milliseconds(250);
+  const auto pid = aHost.mProcess.mPid;
+  const auto delay = Chance(mRandom, 70)
+                       ? kClosing + RandomTime(mRandom, kClosingRange)
+                       : RandomTime(mRandom, kMostDelay);
+  co_await SleepUntil(Clock::now() + delay);
+  if (aHost.mProcess.mPid != pid) {
+    co_return;
+  }
+  const auto from = Clock::now();
+  SignalProcess(aHost.mProcess, SIGSTOP);
+  co_await SleepUntil(from + RandomTime(mRandom, kMostPause));
+  SignalProcess(aHost.mProcess, SIGCONT);
+  mStalls.push_back({ from, Clock::now() });
+  ++mCounts["pauses"];
+}
+
+auto Soak::StopAgain(SoakHost& aHost) -> Task<>
+{
+  constexpr auto kMostDelay = milliseconds(300);
+  const auto pid = aHost.mProcess.mPid;
+  const auto when = std::exchange(aHost.mStopAfterStart, StopAfterStart::None);
+  if (when == StopAfterStart::WhenReady) {
+    co_await AwaitReady(aHost);
+  }
+  if (aHost.mProcess.mPid == pid) {
+    ++mCounts["stops_after_start"];
+    co_await Stop(aHost, RandomTime(mRandom, kMostDelay), Duration{});
+  }
+}
+
+auto Soak::ReloadSome() -> Task<>
+{
+  constexpr std::uint64_t kMostSignals = 10;
+  constexpr auto kMostPause = milliseconds(100);
+  constexpr std::uint64_t kKeepResults = 120;
+  constexpr std::uint64_t kKeepRange = 60;
+  const auto hosts = 1 + UniformBelow(mRandom, mHosts.size());
+  const auto first = UniformBelow(mRandom, mHosts.size());
+  const auto signals = 1 + UniformBelow(mRandom, kMostSignals);
+  for (std::size_t i = 0; i < signals; ++i) {
+    for (std::size_t k = 0; k < hosts; ++k) {
+      auto& host = mHosts[(first + k) % mHosts.size()];
+      if (Chance(mRandom, 50)) {
+        WriteSettings(
+          host,
+          static_cast<int>(kKeepResults + UniformBelow(mRandom, kKeepRange)));
+      }
+      // Before a program has set its handlers, SIGHUP ends it.
+      if (HasLogged(host.mProcess)) {
+        ++mCounts["reloads"];
+        SignalProcess(host.mProcess, SIGHUP);
+      }
+    }
+    co_await SleepUntil(Clock::now() + RandomTime(mRandom, kMostPause));
+  }
+}
+
+auto Soak::PublishSeries() -> Task<>
+{
+  constexpr std::uint64_t kMostVersions = 12;
+  constexpr std::size_t kMostRoutes = 40;
+  constexpr auto kMostPause = milliseconds(80);
+  const auto versions = 1 + UniformBelow(mRandom, kMostVersions);
+  for (std::size_t i = 0; i < versions; ++i) {
+    if (mExtraRoutes.size() < kMostRoutes && Chance(mRandom, 70)) {
+      mExtraRoutes.push_back(absl::StrCat("x", mVersion));
+    } else if (!mExtraRoutes.empty()) {
+      mExtraRoutes.erase(mExtraRoutes.begin());
+    }
+    Publish();
+    co_await SleepUntil(Clock::now() + RandomTime(mRandom, kMostPause));
+  }
+}
+
+auto Soak::DisturbStore() -> Task<>
+{
+  constexpr auto kMostDelay = milliseconds(400);
+  constexpr auto kMostPhase = milliseconds(3000);
+  while (!mCallersEnd) {
+    mStore.mFaults.mDelay =
+      Chance(mRandom, 50) ? RandomTime(mRandom, kMostDelay) : Duration{};
+    co_await SleepUntil(Clock::now() + RandomTime(mRandom, kMostPhase));
+  }
+  mStore.mFaults = {};
+}
+
+} // namespace mangovalve::standin
