Soak: pause processes during stops, and let callers connect meanwhile

A host that does not run for a moment around the end of its accepting finds requests of new connections when it goes on, as on a busy machine.

--- a/standins/soak/callers.cc
+++ b/standins/soak/callers.cc
@@ -127,6 +127,23 @@
   --mActive;
 }
 
+// A caller of one request, on a new connection to the host.
+auto Soak::AskOnce(std::size_t aHost, Duration aDelay, std::uint64_t aSeed)
+  -> Task<>
+{
+  SoakCaller caller(mLoop, aSeed);
+  caller.mHost = aHost;
+  ++mActive;
+  co_await SleepUntil(Clock::now() + aDelay);
+  const auto& process = mHosts[aHost].mProcess;
+  caller.mConnection =
+    co_await Connect(mLoop, process.mCallers, Clock::now() + kConnectTimeout);
+  if (caller.mConnection) {
+    co_await Ask(caller);
+  }
+  --mActive;
+}
+
 auto Soak::Idle(SoakCaller& aCaller, Duration aTime) -> Task<>
 {
   aCaller.mIdleUntil = Clock::now() + aTime;
--- a/standins/soak/planned_work.cc
+++ b/standins/soak/planned_work.cc
@@ -121,13 +121,13 @@
 
 // Some callers that are idle on the host's connections send right then, others
 // when the host is about to close them.
-auto Soak::Terminate(SoakHost& aHost) -> void
+auto Soak::Terminate(std::size_t aHost) -> void
 {
   constexpr auto kSoon = milliseconds(30);
   constexpr auto kClosing = milliseconds(2200);
   constexpr auto kClosingRange = milliseconds(300);
   for (auto& caller : mCallers) {
-    if (&mHosts[caller.mHost] != &aHost || Chance(mRandom, 30)) {
+    if (caller.mHost != aHost || Chance(mRandom, 30)) {
       continue;
     }
     const auto delay = Chance(mRandom, 50)
@@ -136,7 +136,7 @@
     caller.mIdleUntil = Clock::now() + delay;
     caller.mWake.cancel();
   }
-  SignalProcess(aHost.mProcess, SIGTERM);
+  SignalProcess(mHosts[aHost].mProcess, SIGTERM);
 }
 
 auto Soak::StopSome() -> void
@@ -151,10 +151,11 @@
                        : 1 + UniformBelow(mRandom, mHosts.size());
   const auto together = Chance(mRandom, 50);
   for (std::size_t i = 0; i < count; ++i) {
-    auto& host = mHosts[UniformBelow(mRandom, mHosts.size())];
+    const auto host = UniformBelow(mRandom, mHosts.size());
     if (Chance(mRandom, kAgain)) {
-      host.mStopAfterStart = Chance(mRandom, 70) ? StopAfterStart::WhenReady
-                                                 : StopAfterStart::AtOnce;
+      mHosts[host].mStopAfterStart = Chance(mRandom, 70)
+                                       ? StopAfterStart::WhenReady
+                                       : StopAfterStart::AtOnce;
     }
     const auto delay = together ? Duration{} : RandomTime(mRandom, kMostDelay);
     const auto second = Chance(mRandom, kSecondSignal)
@@ -165,11 +166,12 @@
 }
 
 // A positive aSecond is the time until a second signal to the same process.
-auto Soak::Stop(SoakHost& aHost, Duration aDelay, Duration aSecond) -> Task<>
+auto Soak::Stop(std::size_t aHost, Duration aDelay, Duration aSecond) -> Task<>
 {
-  const auto pid = aHost.mProcess.mPid;
+  auto& process = mHosts[aHost].mProcess;
+  const auto pid = process.mPid;
   co_await SleepUntil(Clock::now() + aDelay);
-  if (pid < 0 || aHost.mProcess.mPid != pid || mDaemonsEnd) {
+  if (pid < 0 || process.mPid != pid || mDaemonsEnd) {
     co_return;
   }
   Terminate(aHost);
@@ -178,46 +180,54 @@
   }
   if (aSecond > Duration{}) {
     co_await SleepUntil(Clock::now() + aSecond);
-    if (aHost.mProcess.mPid == pid) {
+    if (process.mPid == pid) {
       ++mCounts["second_signals"];
-      SignalProcess(aHost.mProcess, SIGTERM);
+      SignalProcess(process, SIGTERM);
     }
   }
 }
 
 // Holds the process while a stop is in progress, as a busy machine does, mostly
-// when it is about to close its connections.
-auto Soak::Pause(SoakHost& aHost) -> Task<>
+// when it is about to close its connections. Meanwhile new callers connect.
+auto Soak::Pause(std::size_t aHost) -> Task<>
 {
   constexpr auto kClosing = milliseconds(2200);
   constexpr auto kClosingRange = milliseconds(150);
   constexpr auto kMostDelay = milliseconds(5000);
   constexpr auto kMostPause = milliseconds(250);
-  const auto pid = aHost.mProcess.mPid;
+  constexpr std::uint64_t kMostCallers = 3;
+  auto& process = mHosts[aHost].mProcess;
+  const auto pid = process.mPid;
   const auto delay = Chance(mRandom, 70)
                        ? kClosing + RandomTime(mRandom, kClosingRange)
                        : RandomTime(mRandom, kMostDelay);
   co_await SleepUntil(Clock::now() + delay);
-  if (aHost.mProcess.mPid != pid) {
+  if (process.mPid != pid) {
     co_return;
   }
   const auto from = Clock::now();
-  SignalProcess(aHost.mProcess, SIGSTOP);
-  co_await SleepUntil(from + RandomTime(mRandom, kMostPause));
-  SignalProcess(aHost.mProcess, SIGCONT);
+  const auto until = from + RandomTime(mRandom, kMostPause);
+  SignalProcess(process, SIGSTOP);
+  for (auto left = UniformBelow(mRandom, kMostCallers + 1); left > 0; --left) {
+    Spawn(mLoop,
+          AskOnce(aHost, RandomTime(mRandom, kMostPause), Next(mRandom)));
+  }
+  co_await SleepUntil(until);
+  SignalProcess(process, SIGCONT);
   mStalls.push_back({ from, Clock::now() });
   ++mCounts["pauses"];
 }
 
-auto Soak::StopAgain(SoakHost& aHost) -> Task<>
+auto Soak::StopAgain(std::size_t aHost) -> Task<>
 {
+  auto& host = mHosts[aHost];
   constexpr auto kMostDelay = milliseconds(300);
-  const auto pid = aHost.mProcess.mPid;
-  const auto when = std::exchange(aHost.mStopAfterStart, StopAfterStart::None);
+  const auto pid = host.mProcess.mPid;
+  const auto when = std::exchange(host.mStopAfterStart, StopAfterStart::None);
   if (when == StopAfterStart::WhenReady) {
-    co_await AwaitReady(aHost);
+    co_await AwaitReady(host);
   }
-  if (aHost.mProcess.mPid == pid) {
+  if (host.mProcess.mPid == pid) {
     ++mCounts["stops_after_start"];
     co_await Stop(aHost, RandomTime(mRandom, kMostDelay), Duration{});
   }
--- a/standins/soak/soak.cc
+++ b/standins/soak/soak.cc
@@ -174,9 +174,9 @@
 
 auto Soak::Main() -> Task<>
 {
-  for (auto& host : mHosts) {
-    Spawn(mLoop, Supervise(host));
-    Spawn(mLoop, CheckReadiness(host));
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    Spawn(mLoop, Supervise(i));
+    Spawn(mLoop, CheckReadiness(mHosts[i]));
   }
   for (auto& host : mHosts) {
     const auto ready = co_await AwaitReady(host);
@@ -231,19 +231,20 @@
   }
 }
 
-auto Soak::Supervise(SoakHost& aHost) -> Task<>
+auto Soak::Supervise(std::size_t aHost) -> Task<>
 {
-  auto& process = aHost.mProcess;
+  auto& host = mHosts[aHost];
+  auto& process = host.mProcess;
   while (!mDaemonsEnd) {
     if (!StartProcess(process, mOptions.mBinary)) {
       Violate(process.mName + " could not be started", Clock::now());
       co_return;
     }
     ++mCounts["starts"];
-    if (aHost.mStopAfterStart != StopAfterStart::None) {
+    if (host.mStopAfterStart != StopAfterStart::None) {
       Spawn(mLoop, StopAgain(aHost));
     }
-    co_await WatchProcess(aHost);
+    co_await WatchProcess(host);
   }
 }
 
--- a/standins/soak/soak.h
+++ b/standins/soak/soak.h
@@ -109,7 +109,7 @@
   auto Main() -> Task<>;
   auto RenewEndpoints() -> Task<>;
   auto MeasureStalls() -> Task<>;
-  auto Supervise(SoakHost& aHost) -> Task<>;
+  auto Supervise(std::size_t aHost) -> Task<>;
   auto WatchProcess(SoakHost& aHost) -> Task<>;
   auto JudgeEnd(SoakHost& aHost, int aStatus, bool aKilled) -> void;
   auto CheckReadiness(SoakHost& aHost) -> Task<>;
@@ -124,11 +124,11 @@
   auto WriteSettings(const SoakHost& aHost, int aKeepResults) -> void;
   auto Publish() -> void;
   auto DoPlannedWork() -> Task<>;
-  auto Terminate(SoakHost& aHost) -> void;
+  auto Terminate(std::size_t aHost) -> void;
   auto StopSome() -> void;
-  auto Stop(SoakHost& aHost, Duration aDelay, Duration aSecond) -> Task<>;
-  auto Pause(SoakHost& aHost) -> Task<>;
-  auto StopAgain(SoakHost& aHost) -> Task<>;
+  auto Stop(std::size_t aHost, Duration aDelay, Duration aSecond) -> Task<>;
+  auto Pause(std::size_t aHost) -> Task<>;
+  auto StopAgain(std::size_t aHost) -> Task<>;
   auto ReloadSome() -> Task<>;
   auto PublishSeries() -> Task<>;
   auto DisturbStore() -> Task<>;
@@ -137,6 +137,8 @@
   auto ChooseHost(Random& aRandom) -> std::size_t;
   auto NextId(const char* aPrefix) -> std::string;
   auto RunCaller(SoakCaller& aCaller) -> Task<>;
+  auto AskOnce(std::size_t aHost, Duration aDelay, std::uint64_t aSeed)
+    -> Task<>;
   auto Idle(SoakCaller& aCaller, Duration aTime) -> Task<>;
   auto Reconnect(SoakCaller& aCaller) -> Task<bool>;
   auto Ask(SoakCaller& aCaller) -> Task<>;
