A signal right after the start no longer kills the process

Callers saw connections of a host reset that had just begun to listen: SIGTERM or SIGHUP ended the process by its default action, without a drain. The listener was open and 'started' was logged, but the handlers were installed only when the loop first ran WaitForSignals. Planned work that comes in series hits this.

The handlers are now installed when the daemon is constructed, before it listens. A signal that comes before the loop runs is kept and handled then.

--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -111,6 +111,7 @@
   , mIncarnation(
       static_cast<std::uint64_t>(WallNow().time_since_epoch().count()))
   , mReports(aLoop, MakeReportPorts(), mIncarnation)
+  , mSignals(aLoop, SIGTERM, SIGINT, SIGHUP)
 {
   mState.mHost = mSettings.mPeers;
   mState.mDomain = mSettings.mFailureDomain;
@@ -588,10 +589,9 @@
 
 auto ServingDaemon::WaitForSignals() -> Task<>
 {
-  asio::signal_set signals(mLoop, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
     ErrorCode error;
-    const auto signal = co_await signals.async_wait(CaptureError(error));
+    const auto signal = co_await mSignals.async_wait(CaptureError(error));
     if (error) {
       co_return;
     }
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -110,6 +110,8 @@
   AsyncHttpServer mOperators;
   std::uint64_t mIncarnation;
   ReportExchange mReports;
+  // Handled from the construction on: before that, a signal ends the process.
+  asio::signal_set mSignals;
   // Records as read from the store, copied to other daemons on request.
   std::string mDocumentBytes;
   std::map<std::string, std::string> mEndpointBytes; // by endpoint id
