A stream without framing that ends before its first event is broken off

A caller got a complete, empty success, and a batch item an empty result, from an endpoint that had ended right after the head of a stream with neither a length nor chunks; an endpoint that crashes as it begins to write looks the same, so its crash was no evidence either.

Such a stream without any event, on this attempt or before, now counts as broken off by its endpoint: it is run again or fails, and is examined as a crash.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -575,11 +575,17 @@
       co_return RunOutcome::Failed;
     }
   }
-  if (!splitter.mPartial.empty()) {
+  // Without a length and chunks, the end of a stream that has no event can't be
+  // told from the end of its endpoint.
+  const auto endedEarly =
+    aParser.need_eof() && !aRun.mAnswerBegun && !item.mLastEvent;
+  if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(aRun, http::error::partial_message);
     }
-    co_return RecordFailure(aRun, "stream ended within an event");
+    co_return RecordFailure(aRun,
+                            endedEarly ? "stream ended before its first event"
+                                       : "stream ended within an event");
   }
   RecordExchange(mState, *aRun.mEndpoint, ExchangeResult::Good);
   RecordCompletion(mEstimate, item.mEvents);
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -672,11 +672,17 @@
       co_return step;
     }
   }
-  if (!splitter.mPartial.empty()) {
+  // Without a length and chunks, the end of a stream that has no event can't be
+  // told from the end of its endpoint.
+  const auto endedEarly =
+    aParser.need_eof() && !mContext.mAnswerBegun && !mContext.mLastEvent;
+  if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(http::error::partial_message);
     }
-    NoteFailure(aEndpoint, "stream: ended within an event");
+    NoteFailure(aEndpoint,
+                endedEarly ? "stream: ended before its first event"
+                           : "stream: ended within an event");
     co_return StepResult::Failed;
   }
   RecordExchange(mState, aEndpoint, ExchangeResult::Good);
