Try quarantined sets again, one request at a time

If endpoints crash for a reason that is no request, a first part that all requests share was refused on all hosts for an hour: a refused request can't clear its parts.

A quarantined set is now tried 20, 80 and 320 s after its first crash, with one request each. The deadlines follow from mSince, so they are the same on all hosts. The first responsive host in the rendezvous order of the set takes the trial. A host that takes over knows an earlier trial by its crash, and one that has just learned of a quarantine waits for the next deadline that is at least 5 s away, so that hosts which start together don't all try. A request with a part of a second quarantine is not tried.

Not connected to the relay yet.

--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -7,7 +7,6 @@
 #include "mangovalve/routing/crash_suspects.h"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 #include <absl/container/flat_hash_set.h>
@@ -66,6 +65,15 @@
   });
 }
 
+// Whether any of the set's parts is among aParts, which are in any order.
+auto ContainsAnyOf(std::span<const PartHash> aParts, const PartSet& aSet)
+  -> bool
+{
+  return std::any_of(aParts.begin(), aParts.end(), [&](PartHash aPart) {
+    return std::binary_search(aSet.begin(), aSet.end(), aPart);
+  });
+}
+
 auto LastStart(const CrashSuspects& aSuspects, PartHash aPart) -> TimePoint
 {
   const auto start = aSuspects.mStarts.find(aPart);
@@ -303,14 +311,66 @@
   return false;
 }
 
+// The deadlines of the quarantine's trials before and after a time.
+struct TrialDeadlines
+{
+  TimePoint mLast = TimePoint::min(); // at aNow or before
+  TimePoint mNext = TimePoint::max();
+};
+
+auto TrialDeadlinesAt(const Quarantine& aQuarantine,
+                      const SuspectPolicy& aPolicy,
+                      TimePoint aNow) -> TrialDeadlines
+{
+  TrialDeadlines deadlines;
+  auto age = aPolicy.mFirstTrial;
+  for (std::size_t trial = 0; trial < aPolicy.mMaxTrials; ++trial) {
+    const auto deadline = aQuarantine.mSince + age;
+    if (deadline > aNow) {
+      deadlines.mNext = deadline;
+      break;
+    }
+    deadlines.mLast = deadline;
+    age *= aPolicy.mTrialFactor;
+  }
+  return deadlines;
+}
+
+// Whether the set's trial is due at this host. The trial of another host is
+// known by its crash. When crashes since the deadline may have been forgotten,
+// the trial has lapsed.
+auto IsTrialDue(const CrashSuspects& aSuspects,
+                const Quarantine& aQuarantine,
+                const SuspectPolicy& aPolicy,
+                TimePoint aNow) -> bool
+{
+  if (aNow < aQuarantine.mTrialAt) {
+    return false;
+  }
+  const auto last = TrialDeadlinesAt(aQuarantine, aPolicy, aNow).mLast;
+  if (last == TimePoint::min() || aNow >= last + aPolicy.mRetention) {
+    return false;
+  }
+  // The deadlines of hosts differ like their copies of mSince.
+  return std::none_of(aSuspects.mRuns.begin(),
+                      aSuspects.mRuns.end(),
+                      [&](const CrashedRun& aRun) {
+                        return aRun.mAt >= last - aPolicy.mSameCrash &&
+                               IsSubset(aQuarantine.mParts, aRun.mParts);
+                      });
+}
+
 // Returns whether the quarantine is new.
 auto Insert(CrashSuspects& aSuspects,
             Quarantine aQuarantine,
-            const SuspectPolicy& aPolicy) -> bool
+            const SuspectPolicy& aPolicy,
+            TimePoint aNow) -> bool
 {
   if (Prolong(aSuspects, aQuarantine, aPolicy)) {
     return false;
   }
+  aQuarantine.mTrialAt =
+    TrialDeadlinesAt(aQuarantine, aPolicy, aNow + aPolicy.mTrialNotice).mNext;
   auto& quarantines = aSuspects.mQuarantines;
   for (const auto part : aQuarantine.mParts) {
     aSuspects.mStarts.try_emplace(part, kNever);
@@ -424,7 +484,8 @@
   });
   std::vector<Quarantine> added;
   for (const auto& quarantine : attribution.mQuarantines) {
-    if (quarantine.mUntil > aNow && Insert(aSuspects, quarantine, aPolicy)) {
+    if (quarantine.mUntil > aNow &&
+        Insert(aSuspects, quarantine, aPolicy, aNow)) {
       added.push_back(quarantine);
     }
   }
@@ -486,7 +547,7 @@
         aSuspects, aQuarantine, Attribute(aSuspects, aPolicy), aPolicy)) {
     return false;
   }
-  return Insert(aSuspects, std::move(aQuarantine), aPolicy);
+  return Insert(aSuspects, std::move(aQuarantine), aPolicy, aNow);
 }
 
 auto IsQuarantined(const CrashSuspects& aSuspects,
@@ -525,6 +586,43 @@
   });
 }
 
+auto DueTrial(const CrashSuspects& aSuspects,
+              std::span<const PartHash> aParts,
+              const SuspectPolicy& aPolicy,
+              TimePoint aNow) -> std::optional<PartSet>
+{
+  const Quarantine* found = nullptr;
+  for (const auto& quarantine : aSuspects.mQuarantines) {
+    if (quarantine.mUntil <= aNow ||
+        !ContainsAnyOf(aParts, quarantine.mParts)) {
+      continue;
+    }
+    if (found != nullptr || !ContainsAll(aParts, quarantine.mParts)) {
+      return std::nullopt;
+    }
+    found = &quarantine;
+  }
+  return found != nullptr && IsTrialDue(aSuspects, *found, aPolicy, aNow)
+           ? std::optional(found->mParts)
+           : std::nullopt;
+}
+
+auto TakeTrial(CrashSuspects& aSuspects,
+               std::span<const PartHash> aParts,
+               const SuspectPolicy& aPolicy,
+               bool aMayTry,
+               TimePoint aNow) -> bool
+{
+  const auto due =
+    aMayTry ? DueTrial(aSuspects, aParts, aPolicy, aNow) : std::nullopt;
+  for (auto& quarantine : aSuspects.mQuarantines) {
+    if (due && quarantine.mParts == *due) {
+      quarantine.mTrialAt = TrialDeadlinesAt(quarantine, aPolicy, aNow).mNext;
+    }
+  }
+  return due.has_value();
+}
+
 auto ForgetExpired(CrashSuspects& aSuspects,
                    const SuspectPolicy& aPolicy,
                    TimePoint aNow) -> void
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -10,12 +10,17 @@
 // with all of them are refused, and a request with some of them clears those
 // when its answer begins.
 //
+// A wrong quarantine can't be cleared by requests that it refuses, so single
+// requests are tried at growing intervals. The deadlines of the trials follow
+// from the first crash, and are the same on all hosts.
+//
 // The hosts exchange their evidence and their quarantines. The functions are
 // pure; the current time is a parameter. Memory is bounded by SuspectPolicy.
 #pragma once
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -45,6 +50,9 @@
   // The first crash. An answer that began later clears its parts.
   TimePoint mSince{};
   TimePoint mUntil{};
+  // This host tries no request before. Set when the quarantine becomes known
+  // here; not exchanged.
+  TimePoint mTrialAt = TimePoint::max();
 };
 
 struct SuspectPolicy
@@ -60,6 +68,14 @@
   // Evidence is forgotten after this time.
   Duration mRetention = std::chrono::minutes(10);
   Duration mQuarantine = std::chrono::hours(1);
+  // A quarantined set is tried mFirstTrial after its first crash, then at
+  // mTrialFactor times the age of the trial before.
+  Duration mFirstTrial = std::chrono::seconds(20);
+  int mTrialFactor = 4;
+  std::size_t mMaxTrials = 3;
+  // Deadlines that are closer when the quarantine becomes known are left to
+  // other hosts: a host that starts doesn't know yet which one has to try.
+  Duration mTrialNotice = std::chrono::seconds(5);
   std::size_t mMaxRuns = 256; // the oldest ones are forgotten first
   std::size_t mMaxQuarantines = 64;
 };
@@ -108,6 +124,23 @@
                  const SuspectPolicy& aPolicy,
                  TimePoint aNow) -> bool;
 
+// The quarantined set that is due for a trial and of which a request with these
+// parts may be the trial. Empty if none is due, if another host's trial has
+// crashed since the last deadline, or if the request has parts of several
+// quarantines.
+auto DueTrial(const CrashSuspects& aSuspects,
+              std::span<const PartHash> aParts,
+              const SuspectPolicy& aPolicy,
+              TimePoint aNow) -> std::optional<PartSet>;
+
+// Whether the request may be sent once although it is quarantined. The trial of
+// its set is then used up. Only the host that tries the set passes aMayTry.
+auto TakeTrial(CrashSuspects& aSuspects,
+               std::span<const PartHash> aParts,
+               const SuspectPolicy& aPolicy,
+               bool aMayTry,
+               TimePoint aNow) -> bool;
+
 // Forgets expired evidence and quarantines.
 auto ForgetExpired(CrashSuspects& aSuspects,
                    const SuspectPolicy& aPolicy,
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -5,8 +5,10 @@
 #include <cmath>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "mangovalve/base/id.h"
+#include "mangovalve/membership/rendezvous.h"
 #include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
@@ -252,6 +254,38 @@
   return place ? aPool.mEndpoints[*place] : nullptr;
 }
 
+auto TriesQuarantine(const ServingState& aState, const PartSet& aSet) -> bool
+{
+  std::vector<std::string> hosts{ aState.mHost };
+  for (const auto& [host, peer] : aState.mFleet.mPeers) {
+    if (!peer.mUnresponsive) {
+      hosts.push_back(host);
+    }
+  }
+  const auto role = absl::StrCat("trial ", absl::StrJoin(aSet, " "));
+  return RendezvousOwner(role, hosts) == aState.mHost;
+}
+
+auto MayTakeTrial(const ServingState& aState,
+                  std::span<const PartHash> aParts,
+                  TimePoint aNow) -> bool
+{
+  const auto due =
+    DueTrial(aState.mSuspects, aParts, aState.mSuspectPolicy, aNow);
+  return due && TriesQuarantine(aState, *due);
+}
+
+auto TakeTrial(ServingState& aState,
+               std::span<const PartHash> aParts,
+               TimePoint aNow) -> bool
+{
+  return TakeTrial(aState.mSuspects,
+                   aParts,
+                   aState.mSuspectPolicy,
+                   MayTakeTrial(aState, aParts, aNow),
+                   aNow);
+}
+
 ScopedInFlight::ScopedInFlight(ServingState& aState,
                                EndpointPtr aEndpoint,
                                Workload aWork)
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -100,6 +100,21 @@
   SuspectPolicy mSuspectPolicy;
 };
 
+// Whether this host is the one that tries requests with a quarantined set: the
+// first one in the rendezvous order of the hosts that are responsive here.
+auto TriesQuarantine(const ServingState& aState, const PartSet& aSet) -> bool;
+
+// Whether TakeTrial would succeed.
+auto MayTakeTrial(const ServingState& aState,
+                  std::span<const PartHash> aParts,
+                  TimePoint aNow) -> bool;
+
+// Whether a quarantined request with these parts may be sent, once, as the
+// trial of its set. The trial is then used up.
+auto TakeTrial(ServingState& aState,
+               std::span<const PartHash> aParts,
+               TimePoint aNow) -> bool;
+
 enum class Workload
 {
   Online,
