--- a/mangovalve/routing/crash_suspects_test.cc
+++ b/mangovalve/routing/crash_suspects_test.cc
@@ -5,11 +5,13 @@
 #include <array>
 #include <initializer_list>
 #include <iterator>
+#include <string>
 
 #include <doctest/doctest.h>
 
 #include "mangovalve/base/property.h"
 #include "mangovalve/base/random.h"
+#include "mangovalve/membership/rendezvous.h"
 
 namespace mangovalve {
 namespace {
@@ -387,6 +389,174 @@
   CHECK_FALSE(Suspects(host, until, { kDeadly + 1 }));
 }
 
+auto Tries(Host& aHost, TimePoint aAt, std::initializer_list<PartHash> aParts)
+  -> bool
+{
+  return TakeTrial(aHost.mSuspects, std::vector(aParts), kPolicy, true, aAt);
+}
+
+// Guards against several requests with a deadly part that are sent as the same
+// trial, and against hosts that try a set which another host tries.
+TEST_CASE("a trial is used up once, and only by the host that tries the set")
+{
+  Host host;
+  CrashTimes(host, 4, kStart, { kDeadly });
+  const auto deadline = kStart + kPolicy.mFirstTrial;
+  const PartSet parts{ kDeadly };
+  CHECK_FALSE(Tries(host, deadline - milliseconds(1), { kDeadly }));
+  CHECK_FALSE(TakeTrial(host.mSuspects, parts, kPolicy, false, deadline));
+  CHECK(DueTrial(host.mSuspects, parts, kPolicy, deadline) == parts);
+  CHECK(Tries(host, deadline, { kFirst, kDeadly }));
+  CHECK_FALSE(DueTrial(host.mSuspects, parts, kPolicy, deadline));
+  CHECK_FALSE(Tries(host, deadline + seconds(59), { kDeadly }));
+  CHECK(Refuses(host, deadline, { kDeadly }));
+  CHECK(Tries(host, kStart + seconds(80), { kDeadly }));
+  CHECK(Tries(host, kStart + seconds(320), { kDeadly }));
+  CHECK_FALSE(Tries(host, kStart + seconds(1280), { kDeadly }));
+}
+
+// Guards against requests that are sent as trials though nothing is quarantined
+// that they contain.
+TEST_CASE("a request that is not quarantined takes no trial")
+{
+  Host host;
+  CrashTimes(host, 4, kStart, { kFirst, kDeadly });
+  const auto deadline = kStart + kPolicy.mFirstTrial;
+  CHECK_FALSE(Tries(host, deadline, { kOtherFirst }));
+  CHECK_FALSE(Tries(host, deadline, { kFirst }));
+  CHECK(Tries(host, deadline, { kFirst, kDeadly }));
+}
+
+// Guards against a host that tries a deadly part again when the host that has
+// tried it stops.
+TEST_CASE("a host that takes over does not repeat a trial that has crashed")
+{
+  Host first;
+  Host second;
+  CrashTimes(first, 4, kStart, { kDeadly });
+  CrashTimes(second, 4, kStart, { kDeadly });
+  const auto at = kStart + seconds(20);
+  REQUIRE(Tries(first, at, { kDeadly }));
+  // The times of hosts differ a little.
+  Crash(second, at - milliseconds(20), { kDeadly });
+  CHECK_FALSE(Tries(second, at + seconds(10), { kDeadly }));
+  REQUIRE(Tries(second, kStart + seconds(100), { kDeadly }));
+  CHECK_FALSE(Tries(second, kStart + seconds(101), { kDeadly }));
+}
+
+// Guards against a part that is never tried again when the host that tries it
+// stops, and against one trial for each deadline that this host has missed.
+TEST_CASE("a host that takes over makes up for one trial, not for all")
+{
+  Host host;
+  CrashTimes(host, 4, kStart, { kDeadly });
+  const auto at = kStart + seconds(100);
+  CHECK(Tries(host, at, { kDeadly }));
+  CHECK_FALSE(Tries(host, at, { kDeadly }));
+  CHECK_FALSE(Tries(host, kStart + seconds(319), { kDeadly }));
+  CHECK(Tries(host, kStart + seconds(320), { kDeadly }));
+}
+
+// Guards against a trial of each host of a fleet that starts with a quarantine
+// from the store, when none of them knows the others and their trials.
+TEST_CASE("a host that has just learned of a quarantine does not try it")
+{
+  Host host;
+  const auto adopt = [&](TimePoint aAt) {
+    host.mSuspects = {};
+    return AdoptQuarantine(host.mSuspects,
+                           { .mParts = { kDeadly },
+                             .mSince = kStart,
+                             .mUntil = kStart + kPolicy.mQuarantine },
+                           kPolicy,
+                           aAt);
+  };
+  REQUIRE(adopt(kStart + seconds(60)));
+  CHECK_FALSE(Tries(host, kStart + seconds(79), { kDeadly }));
+  CHECK(Tries(host, kStart + seconds(80), { kDeadly }));
+  REQUIRE(adopt(kStart + seconds(78)));
+  CHECK_FALSE(Tries(host, kStart + seconds(319), { kDeadly }));
+  CHECK(Tries(host, kStart + seconds(320), { kDeadly }));
+  REQUIRE(adopt(kStart + seconds(319)));
+  CHECK_FALSE(Tries(host, kStart + seconds(330), { kDeadly }));
+}
+
+// Guards against trials by hosts that have forgotten earlier ones.
+TEST_CASE("a trial lapses when its crash at another host may be forgotten")
+{
+  Host host;
+  CrashTimes(host, 4, kStart, { kDeadly });
+  const auto lapsed = kStart + seconds(320) + kPolicy.mRetention;
+  const PartSet parts{ kDeadly };
+  CHECK(DueTrial(host.mSuspects, parts, kPolicy, lapsed - seconds(1)));
+  CHECK_FALSE(DueTrial(host.mSuspects, parts, kPolicy, lapsed));
+}
+
+// Guards against a trial that crashes by another quarantined part, which gets
+// more requests than its own trials.
+TEST_CASE("a request with parts of two quarantines is not tried")
+{
+  Host host;
+  const auto now = CrashTimes(host, 4, kStart, { kDeadly });
+  CrashTimes(host, 4, now, { kFirst, kSession });
+  REQUIRE(Sets(host.mSuspects) ==
+          PartSets{ { kDeadly }, { kFirst, kSession } });
+  const auto at = kStart + seconds(30);
+  CHECK_FALSE(Tries(host, at, { kDeadly, kFirst, kSession }));
+  CHECK_FALSE(Tries(host, at, { kDeadly, kFirst }));
+  CHECK(Tries(host, at, { kDeadly }));
+  CHECK(Tries(host, at, { kFirst, kSession }));
+}
+
+// Sends a request with the deadly part to each host each 100 ms. The hosts have
+// equal views; evidence of a trial's crash reaches them aDelay later. Returns
+// the number of trials within aLength of the first crash.
+auto CountTrials(std::size_t aHosts, Duration aDelay, Duration aLength)
+  -> std::size_t
+{
+  std::vector<Host> hosts(aHosts);
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    names.push_back("10.0.0." + std::to_string(i) + ":7000");
+    CrashTimes(hosts[i], 5, kStart + milliseconds(i % 10), { kDeadly });
+  }
+  const auto owner = RendezvousOwner(std::to_string(kDeadly), names);
+  std::size_t trials = 0;
+  auto crash = TimePoint::max(); // of a trial; not yet known to the hosts
+  for (auto now = kStart + seconds(6); now < kStart + aLength;
+       now += milliseconds(100)) {
+    if (crash != TimePoint::max() && now >= crash + aDelay) {
+      for (auto& host : hosts) {
+        Crash(host, crash, { kDeadly });
+      }
+      crash = TimePoint::max();
+    }
+    for (std::size_t i = 0; i < aHosts; ++i) {
+      if (TakeTrial(hosts[i].mSuspects,
+                    PartSet{ kDeadly },
+                    kPolicy,
+                    names[i] == owner,
+                    now)) {
+        ++trials;
+        crash = now + milliseconds(200);
+      }
+    }
+  }
+  return trials;
+}
+
+// Guards against trials that add up to more deadly requests than are allowed,
+// also in large fleets.
+TEST_CASE("a deadly part gets few trials from 3 to 95 hosts")
+{
+  for (const std::size_t hosts : { 3U, 12U, 30U, 95U }) {
+    CAPTURE(hosts);
+    CHECK(CountTrials(hosts, seconds(2), seconds(60)) == 1);
+    CHECK(CountTrials(hosts, seconds(2), std::chrono::minutes(10)) == 3);
+    CHECK(CountTrials(hosts, seconds(2), std::chrono::minutes(25)) == 3);
+  }
+}
+
 // Some crashes one second apart, with several runs each.
 auto RandomEvidence(Random& aRandom) -> std::vector<CrashedRun>
 {
@@ -475,6 +645,8 @@
   std::uint64_t mFirsts = 8;
   std::uint64_t mSessions = 60;
   double mArrivalsPerMs = 0.05;
+  Duration mCrashLoop{}; // each answer crashes its endpoint until this time
+  Duration mLength = seconds(40);
 };
 
 struct SimResult
@@ -483,6 +655,7 @@
   std::vector<TimePoint> mDeadlySends;
   std::vector<TimePoint> mSoundRefusals;
   std::size_t mSoundStarts = 0;
+  std::vector<TimePoint> mTrials;
 };
 
 // Three hosts and twelve endpoints in virtual time.
@@ -515,11 +688,34 @@
   return request;
 }
 
+auto TakeTrial(Simulation& aSimulation,
+               const SimRequest& aRequest,
+               TimePoint aNow) -> bool
+{
+  auto& suspects = aSimulation.mHosts[aRequest.mHost];
+  const auto due = DueTrial(suspects, aRequest.mParts, kPolicy, aNow);
+  if (!due) {
+    return false;
+  }
+  const auto owner =
+    RendezvousOwner(std::to_string(due->front()), { "0", "1", "2" });
+  const auto taken = TakeTrial(suspects,
+                               aRequest.mParts,
+                               kPolicy,
+                               owner == std::to_string(aRequest.mHost),
+                               aNow);
+  if (taken) {
+    aSimulation.mResult.mTrials.push_back(aNow);
+  }
+  return taken;
+}
+
 // Sends the request to an endpoint that is up, unless it is refused.
 auto Send(Simulation& aSimulation, SimRequest aRequest, TimePoint aNow) -> void
 {
   if (IsQuarantined(
-        aSimulation.mHosts[aRequest.mHost], aRequest.mParts, aNow)) {
+        aSimulation.mHosts[aRequest.mHost], aRequest.mParts, aNow) &&
+      !TakeTrial(aSimulation, aRequest, aNow)) {
     if (!aRequest.mDeadly) {
       aSimulation.mResult.mSoundRefusals.push_back(aNow);
     }
@@ -577,8 +773,9 @@
       return aRequest.mStartAt > aNow;
     });
   const std::vector<SimRequest> started(begins, running.end());
-  if (std::any_of(started.begin(), started.end(), [](const auto& aRequest) {
-        return aRequest.mDeadly;
+  const auto loop = aNow < kStart + aSimulation.mDay.mCrashLoop;
+  if (std::any_of(started.begin(), started.end(), [&](const auto& aRequest) {
+        return aRequest.mDeadly || loop;
       })) {
     CrashEndpoint(aSimulation, aEndpoint, aNow);
     return;
@@ -596,6 +793,11 @@
   auto& random = aSimulation.mRandom;
   for (auto& host : aSimulation.mHosts) {
     for (const auto& report : aSimulation.mReports) {
+      for (const auto& [part, start] : report.mStarts) {
+        if (start != TimePoint::min()) {
+          RecordStart(host, std::array{ part }, start);
+        }
+      }
       for (auto run : report.mRuns) {
         run.mAt += milliseconds(UniformBelow(random, 10));
         RecordCrash(host, std::move(run), kPolicy, aNow);
@@ -614,7 +816,7 @@
   Simulation simulation;
   simulation.mDay = aDay;
   simulation.mRandom = { aSeed };
-  for (auto now = kStart; now < kStart + seconds(40); now += milliseconds(1)) {
+  for (auto now = kStart; now < kStart + aDay.mLength; now += milliseconds(1)) {
     if ((now - kStart) % milliseconds(250) == Duration(0)) {
       ExchangeReports(simulation, now);
     }
@@ -662,5 +864,43 @@
   }
 }
 
+// Guards against trials that come on top of deadly requests of which too many
+// were sent before.
+TEST_CASE("three hosts stop a deadly part for ten minutes, with all trials")
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    const SimDay day{ .mDeadlyShare = 0.05,
+                      .mLength = std::chrono::minutes(10) };
+    const auto result = Simulate(day, seed);
+    REQUIRE(result.mCrashes.size() >= 5);
+    CHECK(result.mTrials.size() <= kPolicy.mMaxTrials);
+    CHECK(CountSince(result.mDeadlySends, result.mCrashes[4] + seconds(3)) <=
+          3);
+  }
+}
+
+// Guards against sound requests that are refused for an hour after endpoints
+// crashed for a reason that was no request.
+TEST_CASE("a first part of all requests is served again after a crash loop")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    const SimDay day{ .mFirsts = 1,
+                      .mCrashLoop = seconds(30),
+                      .mLength = seconds(100) };
+    const auto result = Simulate(day, seed);
+    const auto refusedAt60 =
+      std::count_if(result.mSoundRefusals.begin(),
+                    result.mSoundRefusals.end(),
+                    [](TimePoint aAt) { return aAt >= kStart + seconds(60); });
+    CHECK(refusedAt60 > 100);            // the loop has quarantined the part
+    REQUIRE(result.mTrials.size() == 2); // the first one is within the loop
+    CHECK(CountSince(result.mSoundRefusals,
+                     result.mTrials.back() + seconds(1)) == 0);
+    CHECK(result.mSoundStarts > 500);
+  }
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -3,6 +3,7 @@
 
 #include <deque>
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include "mangovalve/base/id.h"
@@ -77,6 +78,75 @@
   CHECK(other.mRates["a"].mTokens == 5);
 }
 
+// Guards against a quarantined set that several hosts of a fleet try, or none.
+TEST_CASE("one responsive host tries a quarantined set, from 3 to 95 hosts")
+{
+  asio::io_context loop;
+  for (const std::size_t count : { 3U, 30U, 95U }) {
+    std::vector<std::string> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+      hosts.push_back(absl::StrCat("10.0.0.", i, ":7000"));
+    }
+    const PartSet set{ count, count + 1 };
+    const auto tries = [&](const std::string& aHost, const std::string& aLost) {
+      ServingState state(loop);
+      state.mHost = aHost;
+      for (const auto& peer : hosts) {
+        if (peer != aHost) {
+          state.mFleet.mPeers[peer].mUnresponsive = peer == aLost;
+        }
+      }
+      return TriesQuarantine(state, set);
+    };
+    const auto triers = [&](const std::string& aLost) {
+      std::vector<std::string> found;
+      for (const auto& host : hosts) {
+        if (host != aLost && tries(host, aLost)) {
+          found.push_back(host);
+        }
+      }
+      return found;
+    };
+    const auto first = triers("");
+    REQUIRE(first.size() == 1);
+    const auto next = triers(first[0]);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0] != first[0]);
+  }
+}
+
+// Guards against a trial by a host that has to leave it to another one, and
+// against a check that uses up the trial.
+TEST_CASE("a host takes the trial of a quarantined set if it tries the set")
+{
+  asio::io_context loop;
+  ServingState state(loop);
+  state.mHost = "10.0.0.1:7000";
+  const auto since = TimePoint(std::chrono::hours(1));
+  const PartSet set{ 7 };
+  REQUIRE(AdoptQuarantine(
+    state.mSuspects,
+    { .mParts = set, .mSince = since, .mUntil = since + std::chrono::hours(1) },
+    state.mSuspectPolicy,
+    since));
+  const auto at = since + state.mSuspectPolicy.mFirstTrial;
+  std::string preferred;
+  for (auto i = 2; preferred.empty(); ++i) {
+    const auto peer = absl::StrCat("10.0.0.", i, ":7000");
+    state.mFleet.mPeers = {};
+    state.mFleet.mPeers[peer].mUnresponsive = false;
+    preferred = TriesQuarantine(state, set) ? "" : peer;
+  }
+  CHECK_FALSE(MayTakeTrial(state, set, at));
+  CHECK_FALSE(TakeTrial(state, set, at));
+  state.mFleet.mPeers[preferred].mUnresponsive = true;
+  CHECK(MayTakeTrial(state, set, at));
+  CHECK(MayTakeTrial(state, set, at));
+  CHECK(TakeTrial(state, set, at));
+  CHECK_FALSE(MayTakeTrial(state, set, at));
+  CHECK_FALSE(TakeTrial(state, set, at));
+}
+
 // Hosts of several domains in virtual time. One team is offered requests at a
 // multiple of its rate, most of them at a few hosts.
 class OverloadedFleet
