Send the trial of a quarantined set

The relay takes the trial that is due right before it sends, so that a request without a slot or a connection does not use it up.

'a quarantine ends when one request that is tried is answered' passes; without trials, a quarantine lasted an hour whatever its cause.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -418,7 +418,8 @@
     RecordExchange(mState, *aEndpoint, ExchangeResult::Refused);
     co_return StepResult::NotRun;
   }
-  if (QuarantinedUntil()) {
+  if (QuarantinedUntil() &&
+      !TakeTrial(mState, mContext.mMetadata.mSharedParts, Clock::now())) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
@@ -796,7 +797,9 @@
   context.mRoute = aAdmission.mRoute;
   // Before the rate, so that the request takes no token.
   if (const auto until = QuarantinedUntil(
-        mState.mSuspects, context.mMetadata.mSharedParts, Clock::now())) {
+        mState.mSuspects, context.mMetadata.mSharedParts, Clock::now());
+      until &&
+      !MayTakeTrial(mState, context.mMetadata.mSharedParts, Clock::now())) {
     co_await RefuseQuarantined(mProtocol, context, *until);
     co_return;
   }
