Answer a caller that has only ended its sending side

A whole request followed by the end of the caller's sending side got neither an answer nor a refusal, and a reset: the end counts as the caller's departure, and nothing was sent then.

It still ends the endpoint's work, since a departure looks the same. If no response was begun, the caller now gets one: not run, or 502 if an endpoint may have run it.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -287,6 +287,7 @@
   // Pending bytes belong to the next request, which the caller has pipelined.
   if (closed && !aCaller->mDisconnected) {
     aCaller->mDisconnected = true;
+    aCaller->mSendingEnded = count == 0;
     if (const auto onDisconnect = aCaller->mOnDisconnect) {
       onDisconnect();
     }
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -70,6 +70,13 @@
   // Whether the caller has closed its connection.
   auto Disconnected() const -> bool { return mDisconnected; }
 
+  // Whether all that is known of this is the end of the caller's sending side,
+  // so that it may still read a response.
+  auto MayStillRead() const -> bool { return mSendingEnded; }
+
+  // Whether a response to the current request was begun.
+  auto Answered() const -> bool { return mAnswered; }
+
   // Called once if the caller disconnects during the request. The handler sets
   // it.
   std::function<void()> mOnDisconnect;
@@ -87,10 +94,10 @@
   ConnectionPhase mPhase = ConnectionPhase::Opened;
   TimePoint mAcceptedAt = Clock::now();
   bool mDisconnected = false;
-  bool mClosing = false; // responses announce the end of the connection
-  bool mIdle = true;     // no request is being handled
-  bool mAnswered = false; // the response to the current request was begun
-  bool mChunked = false;  // a chunked response was begun but not ended
+  bool mSendingEnded = false; // implies mDisconnected; without a reset
+  bool mClosing = false;      // responses announce the end of the connection
+  bool mAnswered = false;     // the response to the current request was begun
+  bool mChunked = false;      // a chunked response was begun but not ended
 };
 
 using CallerPtr = std::shared_ptr<Caller>;
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -175,6 +175,9 @@
   auto GapDeadline() const -> TimePoint;
   auto Finish(RefusalReason aRefusal, std::optional<milliseconds> aRetryAfter)
     -> Task<>;
+  // Ends a request whose caller has disconnected. One that has only ended its
+  // sending side learns whether the request may have run.
+  auto EndForGoneCaller() -> Task<>;
   auto Log(std::string_view aOutcome) const -> void;
   auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
   auto NoteAnswerBegun() -> void;
@@ -321,7 +324,7 @@
     };
     auto slot = co_await AcquireSlot(mState, std::move(request));
     if (mContext.mCaller->Disconnected()) {
-      Log("caller_gone");
+      co_await EndForGoneCaller();
       co_return;
     }
     if (!slot.mEndpoint) {
@@ -336,8 +339,12 @@
     if (step == StepResult::Failed && mContext.mLostAt) {
       step = co_await ExamineLoss(slot.mEndpoint);
     }
+    if (step == StepResult::Done && mContext.mCaller->Disconnected()) {
+      co_await EndForGoneCaller();
+      co_return;
+    }
     if (step == StepResult::Done) {
-      Log(mContext.mCaller->Disconnected() ? "caller_gone" : "answered");
+      Log("answered");
       co_return;
     }
     mContext.mTried.push_back(mContext.mEndpoint);
@@ -380,18 +387,34 @@
   if (notRun && mContext.mAttempts == 0) {
     RefundRate();
   }
-  Log(mContext.mCaller->Disconnected() ? "caller_gone"
-      : notRun                         ? "refused_not_run"
-                                       : "failed");
+  if (mContext.mCaller->Disconnected()) {
+    co_await EndForGoneCaller();
+    co_return;
+  }
+  Log(notRun ? "refused_not_run" : "failed");
   if (mContext.mHeadSent) {
     mContext.mCaller->Abort();
-  } else if (!mContext.mCaller->Disconnected()) {
+  } else {
     auto response =
       mProtocol.mRefuse(aRefusal, mContext.mMetadata.mId, aRetryAfter);
     co_await mContext.mCaller->Reply(std::move(response));
   }
 }
 
+auto RelayedRequest::EndForGoneCaller() -> Task<>
+{
+  Log("caller_gone");
+  if (mContext.mCaller->Answered() || !mContext.mCaller->MayStillRead()) {
+    co_return;
+  }
+  auto response =
+    mProtocol.mRefuse(mContext.mAttempts == 0 ? RefusalReason::Overloaded
+                                              : RefusalReason::EndpointFailed,
+                      mContext.mMetadata.mId,
+                      std::nullopt);
+  co_await mContext.mCaller->Reply(std::move(response));
+}
+
 auto RelayedRequest::Attempt(EndpointPtr aEndpoint) -> Task<StepResult>
 {
   const ScopedInFlight use(mState, aEndpoint, Workload::Online);
