A resumed stream without framing that has no event is broken off too

Found in review.

An item starts anew then, because an item that had its last event already would otherwise be resumed without end.

'a resumed stream without chunks that ends before an event goes on' failed before (three events delivered as the whole stream) and passes now. The item's side has no test of its own.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -577,12 +577,16 @@
   }
   // Without a length and chunks, the end of a stream that has no event can't be
   // told from the end of its endpoint.
-  const auto endedEarly =
-    aParser.need_eof() && !aRun.mAnswerBegun && !item.mLastEvent;
+  const auto endedEarly = aParser.need_eof() && !aRun.mAnswerBegun;
   if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(aRun, http::error::partial_message);
     }
+    if (endedEarly) {
+      // The item may have all its events already; another end of this kind
+      // would not tell.
+      DiscardOutput(item);
+    }
     co_return RecordFailure(aRun,
                             endedEarly ? "stream ended before its first event"
                                        : "stream ended within an event");
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -698,8 +698,7 @@
   }
   // Without a length and chunks, the end of a stream that has no event can't be
   // told from the end of its endpoint.
-  const auto endedEarly =
-    aParser.need_eof() && !mContext.mAnswerBegun && !mContext.mLastEvent;
+  const auto endedEarly = aParser.need_eof() && !mContext.mAnswerBegun;
   if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(http::error::partial_message);
