--- a/mangovalve/base/decayed_mean.h
+++ b/mangovalve/base/decayed_mean.h
@@ -13,7 +13,7 @@
 // Raises a maximum to a value, or lowers it by a fixed share.
 inline auto UpdateDecayedMaximum(double& aMaximum, double aValue) -> void
 {
-  constexpr double kDecay = 0.99; // per value
+  constexpr double kDecay = 0.998; // per value
   aMaximum = aValue > kDecay * aMaximum ? aValue : kDecay * aMaximum;
 }
 
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -252,6 +252,9 @@
     !admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch;
   if ((call || submission) && mState.mExitBy &&
       Clock::now() + mJobs.LongestCall() > *mState.mExitBy) {
+    LogEvent(Severity::Info,
+             "request_refused",
+             { { "id", metadata.mId }, { "reason", "stopping" } });
     co_await aCaller->Reply(mProtocol.mRefuse(
       RefusalReason::NotReady, metadata.mId, kStoppingRetryAfter));
     co_return;
