One crash raises the backoff of an endpoint once

Found in review: every run that an endpoint lost doubled its backoff, so one crash with five runs kept it out for five seconds after its return. The connection of the probe is also no longer in the pool while the probe waits. Not shown by a test.

--- a/mangovalve/serving/endpoint_crash.cc
+++ b/mangovalve/serving/endpoint_crash.cc
@@ -35,10 +35,10 @@
   auto connection =
     co_await aState.mPool.Acquire(address, TimePoint::max(), aDeadline);
   if (connection) {
+    co_await SleepUntil(Clock::now() + kEndOfProcess);
     aState.mPool.Release(std::move(*connection),
                          Clock::now() + kIdleTime,
                          IdleConnectionLimit(aState, aEndpoint));
-    co_await SleepUntil(Clock::now() + kEndOfProcess);
     // Connections that the endpoint has closed are not taken from the pool.
     connection =
       co_await aState.mPool.Acquire(address, TimePoint::min(), aDeadline);
@@ -104,7 +104,10 @@
            { { "id", aRun.mRequestId },
              { "endpoint", aEndpoint->mRegistration.mId },
              { "parts", FormatHashes(aRun.mSharedParts) } });
-  RecordExchange(aState, *aEndpoint, ExchangeResult::Refused);
+  // One crash loses several runs; it must not raise the backoff with each.
+  if (aEndpoint->mHealth.mRefusedUntil <= Clock::now()) {
+    RecordExchange(aState, *aEndpoint, ExchangeResult::Refused);
+  }
   CrashedRun crashed;
   crashed.mId = RunId(aRun, *aEndpoint);
   crashed.mAt = aRun.mLostAt;
