--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -1,14 +1,14 @@
 // Finds the parts of prompts that crash endpoints, and quarantines them.
 //
-// Evidence are the requests that an endpoint had not begun to answer when it
+// The evidence is the requests that an endpoint had not begun to answer when it
 // crashed. Several requests are in progress at a crash, and at most one of them
 // is its cause, so one crash proves nothing. A part is quarantined after
-// crashes at several times that all have a request with the part, without a
-// request with the part that an endpoint began to answer since the first of
-// them. Such an answer clears the part. Parts that occur in the same crashed
-// requests can't be told apart, so they are quarantined as a set: only requests
-// with all of them are refused, and a request with some of them clears those
-// when its answer begins.
+// several crashes at different times, each with a request that contains the
+// part, unless an endpoint has begun to answer a request with the part since
+// the first of them. Such an answer clears the part. Parts that occur in the
+// same crashed requests can't be told apart, so they are quarantined as a set:
+// only requests with all of them are refused, and a request with some of them
+// clears those when its answer begins.
 //
 // A wrong quarantine can't be cleared by requests that it refuses, so single
 // requests are tried at growing intervals. The deadlines of the trials follow
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -110,7 +110,7 @@
   AsyncHttpServer mOperators;
   std::uint64_t mIncarnation;
   ReportExchange mReports;
-  // Handled from the construction on: before that, a signal ends the process.
+  // Its handlers are installed by the constructor, before any server listens.
   asio::signal_set mSignals;
   // Records as read from the store, copied to other daemons on request.
   std::string mDocumentBytes;
