--- a/standins/common/endpoint_server.cc
+++ b/standins/common/endpoint_server.cc
@@ -122,9 +122,20 @@
   if (!mFaults.mUnsigned) {
     head.set("Response-Signature", absl::StrCat("by-", mOptions.mId));
   }
+  AddStatements(head);
   return head;
 }
 
+auto EndpointServer::AddStatements(ResponseHead& aHead) const -> void
+{
+  for (const auto& limit : mFaults.mLimits) {
+    aHead.insert("Server-Limit", limit);
+  }
+  if (mFaults.mLeaving) {
+    aHead.set("Server-Leaving", "1");
+  }
+}
+
 auto EndpointServer::Handle(CallerPtr aCaller,
                             std::shared_ptr<Request> aRequest) -> Task<>
 {
@@ -132,14 +143,19 @@
     aCaller->Abort();
     co_return;
   }
+  mArrivals.push_back(Clock::now());
   const auto id = HeaderText(*aRequest, "Request-Id");
   const auto expected = HeaderText(*aRequest, "Expect-Instance");
   if (!expected.empty() && expected != mOptions.mId) {
-    co_await aCaller->Reply(Refusal(421, id));
+    auto refusal = Refusal(421, id);
+    AddStatements(refusal.base());
+    co_await aCaller->Reply(std::move(refusal));
     co_return;
   }
   if (mFaults.mRefuse || mRunning >= mOptions.mSlots + mOptions.mQueue) {
-    co_await aCaller->Reply(Refusal(503, id));
+    auto refusal = Refusal(503, id);
+    AddStatements(refusal.base());
+    co_await aCaller->Reply(std::move(refusal));
     co_return;
   }
   if (mFaults.mHopeless.contains(id)) {
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -39,6 +39,8 @@
   // Crashes instead of sending the first event of a request whose prompt has
   // this part, unless it is empty.
   std::string mDeadlyPart;
+  std::vector<std::string> mLimits; // values of the header that limits its rate
+  bool mLeaving = false;            // says in its responses that it is leaving
 };
 
 struct EndpointRun
@@ -70,6 +72,7 @@
   EndpointOptions mOptions;
   EndpointFaults mFaults;
   std::vector<EndpointRun> mRuns;
+  std::vector<TimePoint> mArrivals; // of all requests, refused ones too
   std::uint32_t mRunning = 0;
   std::uint32_t mMostRunning = 0;
   std::uint32_t mCancelled = 0; // runs whose sender left before their end
@@ -81,6 +84,8 @@
   auto Stream(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   auto Recover(TimePoint aAt) -> Task<>;
   auto Head(const Request& aRequest, unsigned aStatus) const -> ResponseHead;
+  // Adds what the endpoint says about its rate and its end.
+  auto AddStatements(ResponseHead& aHead) const -> void;
 
   asio::io_context& mLoop;
   AsyncHttpServer mServer;
