Keep to the rate limits that endpoints name, all hosts together

Cause: placement knew slots and requests in flight, and no rate; the header was not read.

Weighed: a share of limit / hosts for each host (with 11 hosts one request of burst from each is over the bound of 1 a second; with 95 far over); one holder that gives out permits (exact, but a call before each request, and a second holder while views differ); a few senders, chosen by rendezvous without agreement. Taken: the last, rate + 1 senders among the hosts of the endpoint's domain, each with an equal part and at most two requests saved. In all 4 * rate + 2 * (rate + 1) requests in 4 s, three below the bound, which is what views that differ may cost.

- Hosts exchange the newest statement in reports and summaries, with its age and at most two hops, so that a limit that has ended can't come back.
It belongs to one start of an endpoint and outlives its registration.
- An endpoint whose limit allows nothing is not a candidate; it stays healthy.
Requests use saved ones only when no other near endpoint has a free slot, batch items only what is left over.
- Requests that the limits can't take in time are refused at once; their callers are asked back one request of the limits apart.
- The log has endpoint_limit (who said it) and, in no_slot, the limits.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -10,6 +10,7 @@
 #include "mangovalve/base/id.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/serving/endpoint_crash.h"
+#include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
@@ -193,7 +194,9 @@
         continue;
       }
       const auto count = BatchItemsToPreempt(
-        CandidateOf(mState, *endpoint, aNow), own, mState.mRandom);
+        CandidateOf(mState, *endpoint, LimitedUse::Spare, aNow),
+        own,
+        mState.mRandom);
       if (count == 0) {
         continue;
       }
@@ -290,7 +293,7 @@
     });
   // All owners see the same free slots at the same time, so each one takes an
   // equal share of them.
-  auto candidates = Candidates(mState, aPool, aNow);
+  auto candidates = Candidates(mState, aPool, LimitedUse::Spare, aNow);
   const auto spare = SpareSlotsForBatch(candidates, mState.mPlacement);
   const auto share = spare / static_cast<double>(mPorts.mOwners());
   auto starts = static_cast<std::size_t>(share + Uniform(mState.mRandom));
@@ -304,7 +307,10 @@
     if (!place) {
       return;
     }
+    auto& limit = aPool.mEndpoints[*place]->mStatements->mLimit;
+    RecordSent(limit, aNow);
     candidates[*place].mBatch += 1;
+    candidates[*place].mUsable = MaySend(limit, LimitedUse::Spare, aNow);
     auto run = std::make_shared<RunningItem>();
     run->mPartition = items[i].second;
     run->mItem = items[i].first;
@@ -514,6 +520,9 @@
   if (metadata.mLoad) {
     RecordReportedLoad(mState, *aRun.mEndpoint, *metadata.mLoad);
   }
+  if (metadata.mId == item.mSubmitted.id) {
+    RecordStatements(mState, *aRun.mEndpoint, metadata, Clock::now());
+  }
   if (!metadata.mId.empty() && metadata.mId != item.mSubmitted.id) {
     co_return RecordFailure(aRun, "response has the id of another request");
   }
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -11,6 +11,7 @@
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/online/slot_queue.h"
 #include "mangovalve/serving/endpoint_crash.h"
+#include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
@@ -592,6 +593,7 @@
   if (aMetadata.mLoad) {
     RecordReportedLoad(mState, aEndpoint, *aMetadata.mLoad);
   }
+  RecordStatements(mState, aEndpoint, aMetadata, Clock::now());
   const auto status = aParser.get().result_int();
   if (aMetadata.mNotExecuted || aMetadata.mWrongEndpoint) {
     --mContext.mAttempts;
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -17,6 +17,10 @@
 // requests take about twice as long, so some slots are free again by then.
 constexpr auto kMinRetryAfter = milliseconds(400);
 
+// Maximum retry delay given to a caller because of the endpoints' limits, which
+// may end at any time.
+constexpr auto kMaxReturnDelay = milliseconds(10000);
+
 // Retry delay while no endpoint of the service is known. Endpoints write to the
 // store about once a second.
 constexpr auto kNoEndpointRetryAfter = milliseconds(1000);
@@ -50,6 +54,35 @@
   QueuedRequest mWaiter;
 };
 
+// PlaceRequest for a request that is then sent.
+auto TakeEndpoint(ServingState& aState,
+                  ServicePool& aPool,
+                  std::span<const std::string> aTried) -> EndpointPtr
+{
+  const auto now = Clock::now();
+  auto endpoint = PlaceRequest(aState, aPool, aTried, now);
+  if (endpoint) {
+    RecordSent(endpoint->mStatements->mLimit, now);
+  }
+  return endpoint;
+}
+
+// When a limit allows this host the next request after aNow.
+auto NextLimitedAt(const ServingState& aState,
+                   const ServicePool& aPool,
+                   TimePoint aNow) -> TimePoint
+{
+  auto next = TimePoint::max();
+  for (const auto& endpoint : aPool.mEndpoints) {
+    const auto& limit = endpoint->mStatements->mLimit;
+    if (IsLimited(limit) && limit.mNextAt > aNow &&
+        IsAvailable(aState, *endpoint, aNow)) {
+      next = std::min(next, limit.mNextAt);
+    }
+  }
+  return next;
+}
+
 auto WaitInQueue(ServingState& aState,
                  ServicePool& aPool,
                  const SlotRequest& aRequest) -> Task<EndpointPtr>
@@ -62,9 +95,11 @@
   EndpointPtr endpoint;
   while (!endpoint && Clock::now() < aRequest.mWaitDeadline &&
          !caller.Disconnected()) {
-    co_await wakeup.WaitUntil(aRequest.mWaitDeadline);
+    // Nothing else notifies when a limit allows the next request.
+    const auto nextAt = NextLimitedAt(aState, aPool, Clock::now());
+    co_await wakeup.WaitUntil(std::min(aRequest.mWaitDeadline, nextAt));
     if (place.IsFirst()) {
-      endpoint = PlaceRequest(aState, aPool, aRequest.mTried, Clock::now());
+      endpoint = TakeEndpoint(aState, aPool, aRequest.mTried);
     }
   }
   caller.mOnDisconnect = nullptr;
@@ -74,25 +109,43 @@
 // Estimate that decides whether a request waits or is refused.
 struct WaitEstimate
 {
-  double mSlots = 0;      // of usable endpoints
+  double mSlots = 0;      // of usable endpoints without a limit
   std::size_t mAhead = 0; // requests waiting here and on other hosts
+  LimitedService mLimited;
   Duration mWait{ 0 };
 };
 
+// Whether there is an endpoint for which a request could wait.
+auto MayWait(const WaitEstimate& aEstimate) -> bool
+{
+  return aEstimate.mSlots > 0 || aEstimate.mLimited.mPart > 0;
+}
+
 auto EstimateWait(const ServingState& aState,
                   const ServicePool& aPool,
                   const SlotRequest& aRequest) -> WaitEstimate
 {
   WaitEstimate estimate;
-  for (const auto& candidate : Candidates(aState, aPool, Clock::now())) {
-    estimate.mSlots += candidate.mUsable ? candidate.mSlots : 0;
+  const auto now = Clock::now();
+  const auto candidates = Candidates(aState, aPool, LimitedUse::Needed, now);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto limited = IsLimited(aPool.mEndpoints[i]->mStatements->mLimit);
+    estimate.mSlots +=
+      candidates[i].mUsable && !limited ? candidates[i].mSlots : 0;
   }
+  estimate.mLimited = LimitsOf(aState, aPool, now);
   estimate.mAhead = aPool.mQueue.size() +
                     PeerWaiting(aState.mFleet, StableHash(aRequest.mService));
   const std::chrono::duration<double> typical = aRequest.mTypicalRunTime;
   const auto run =
     aPool.mMeanSeconds > 0 ? aPool.mMeanSeconds : typical.count();
   estimate.mWait = ExpectedWait(estimate.mAhead, estimate.mSlots, run);
+  if (estimate.mLimited.mPart > 0) {
+    const auto wait =
+      ExpectedLimitedWait(aPool.mQueue.size(), estimate.mLimited, now);
+    estimate.mWait =
+      estimate.mSlots > 0 ? std::min(estimate.mWait, wait) : wait;
+  }
   return estimate;
 }
 
@@ -110,6 +163,8 @@
     { { "id", aRequest.mId },
       { "service", aRequest.mService },
       { "usable_slots", absl::StrCat(aEstimate.mSlots) },
+      { "limited_endpoints", absl::StrCat(aEstimate.mLimited.mEndpoints) },
+      { "limited_part", absl::StrCat(aEstimate.mLimited.mPart) },
       { "ahead", absl::StrCat(aEstimate.mAhead) },
       { "expected_wait_ms", millis(aEstimate.mWait) },
       { "waited_ms", millis(Clock::now() - aRequest.mCaller->mArrivedAt) },
@@ -129,6 +184,33 @@
     std::chrono::duration<double>(seconds));
 }
 
+auto ExpectedLimitedWait(std::size_t aAhead,
+                         const LimitedService& aLimited,
+                         TimePoint aNow) -> Duration
+{
+  const auto first = std::max<Duration>(aLimited.mNextAt - aNow, {});
+  const std::chrono::duration<double> others(static_cast<double>(aAhead) /
+                                             aLimited.mPart);
+  return first + std::chrono::duration_cast<Duration>(others);
+}
+
+auto ScheduleReturn(ServicePool& aPool,
+                    const LimitedService& aLimited,
+                    std::size_t aHosts,
+                    TimePoint aNow) -> TimePoint
+{
+  const auto rate = std::max(aLimited.mRate, kMinEndpointRate);
+  const std::chrono::duration<double> interval(static_cast<double>(aHosts) /
+                                               rate);
+  const auto next =
+    std::max(aNow, aPool.mReturnsUntil) +
+    std::min<Duration>(kMaxReturnDelay,
+                       std::chrono::duration_cast<Duration>(interval));
+  aPool.mReturnsUntil =
+    std::clamp(next, aNow + kMinRetryAfter, aNow + kMaxReturnDelay);
+  return aPool.mReturnsUntil;
+}
+
 auto HasFreeSlot(ServingState& aState,
                  const std::string& aService,
                  std::span<const std::string> aTried) -> bool
@@ -147,22 +229,28 @@
   }
   auto& pool = found->second;
   if (pool.mQueue.empty()) {
-    if (auto endpoint =
-          PlaceRequest(aState, pool, aRequest.mTried, Clock::now())) {
+    if (auto endpoint = TakeEndpoint(aState, pool, aRequest.mTried)) {
       co_return Slot{ std::move(endpoint), {} };
     }
   }
   const auto estimate = EstimateWait(aState, pool, aRequest);
-  if (estimate.mSlots == 0) {
+  if (!MayWait(estimate) && estimate.mLimited.mEndpoints == 0) {
     LogNoSlot(aState, aRequest, estimate);
     co_return Slot{ nullptr, kNoEndpointRetryAfter };
   }
   Slot slot;
   slot.mRetryAfter = std::chrono::duration_cast<milliseconds>(
     std::max<Duration>(estimate.mWait, kMinRetryAfter));
-  if (Clock::now() + estimate.mWait <= aRequest.mWaitDeadline) {
+  if (MayWait(estimate) &&
+      Clock::now() + estimate.mWait <= aRequest.mWaitDeadline) {
     slot.mEndpoint = co_await WaitInQueue(aState, pool, aRequest);
   }
+  if (!slot.mEndpoint && estimate.mSlots == 0) {
+    const auto now = Clock::now();
+    const auto hosts = ResponsivePeerCount(aState.mFleet) + 1;
+    slot.mRetryAfter = std::chrono::ceil<milliseconds>(
+      ScheduleReturn(pool, estimate.mLimited, hosts, now) - now);
+  }
   if (!slot.mEndpoint && !aRequest.mCaller->Disconnected()) {
     LogNoSlot(aState, aRequest, estimate);
   }
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "mangovalve/loop/http_server.h"
+#include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/serving/state.h"
 
 namespace mangovalve {
@@ -48,4 +49,19 @@
 auto ExpectedWait(std::size_t aAhead, double aSlots, double aMeanSeconds)
   -> Duration;
 
+// The same when all endpoints have limits, behind aAhead waiting requests of
+// this host. aLimited must allow this host a part.
+auto ExpectedLimitedWait(std::size_t aAhead,
+                         const LimitedService& aLimited,
+                         TimePoint aNow) -> Duration;
+
+// Returns the time at which the caller of a request that the limits did not
+// allow should return, and reserves it: each caller is assigned another request
+// of the limits. aHosts is the number of hosts that refuse requests in the same
+// way.
+auto ScheduleReturn(ServicePool& aPool,
+                    const LimitedService& aLimited,
+                    std::size_t aHosts,
+                    TimePoint aNow) -> TimePoint;
+
 } // namespace mangovalve
--- a/mangovalve/online/slot_queue_test.cc
+++ b/mangovalve/online/slot_queue_test.cc
@@ -42,6 +42,15 @@
     -> Slot
   {
     Slot slot;
+    Ask(aPatience, slot, aUsualRun);
+    return slot;
+  }
+
+  // The slot may come later, while the loop runs.
+  auto Ask(milliseconds aPatience,
+           Slot& aInto,
+           milliseconds aUsualRun = milliseconds(1)) -> void
+  {
     SlotRequest request;
     request.mCaller = std::make_shared<Caller>(Tcp::socket(mLoop));
     request.mCaller->mArrivedAt = Clock::now();
@@ -50,10 +59,9 @@
     request.mTypicalRunTime = aUsualRun;
     Spawn(mLoop, [](FullPool& aPool, SlotRequest aAsk, Slot& aSlot) -> Task<> {
       aSlot = co_await AcquireSlot(aPool.mState, std::move(aAsk));
-    }(*this, std::move(request), slot));
+    }(*this, std::move(request), aInto));
     mLoop.restart();
     mLoop.run_for(milliseconds(1));
-    return slot;
   }
 };
 
@@ -121,5 +129,75 @@
   CHECK(pool.mState.mPools["llm"].mQueue.empty());
 }
 
+// A pool of one engine with free slots and a limit on its rate.
+struct LimitedPool : FullPool
+{
+  explicit LimitedPool(double aPart)
+    : FullPool(0.1)
+  {
+    auto& endpoint = *mState.mPools["llm"].mEndpoints[0];
+    endpoint.mOwnDomain = true;
+    endpoint.mOwnInFlight.mOnline = 0;
+    auto& limit = endpoint.mStatements->mLimit;
+    const auto now = Clock::now();
+    ApplyStatement(limit, { 2.0, now }, now);
+    SetPart(limit, aPart, now);
+  }
+};
+
+// Guards against requests that wait until their deadline for an endpoint whose
+// limit has no request for them, and against callers that all return at once.
+TEST_CASE("a request that the limits don't allow in time is refused at once")
+{
+  for (const auto part : { 0.0, 1.0 }) {
+    LimitedPool pool(part);
+    const auto start = Clock::now();
+    const auto first = pool.Ask(milliseconds(200));
+    CHECK_FALSE(first.mEndpoint);
+    CHECK(Clock::now() - start < milliseconds(150));
+    CHECK(pool.mState.mPools["llm"].mQueue.empty());
+    CHECK(first.mRetryAfter >= milliseconds(400));
+    auto last = first;
+    for (int i = 0; i < 4; ++i) {
+      const auto next = pool.Ask(milliseconds(200));
+      CHECK(next.mRetryAfter > last.mRetryAfter);
+      last = next;
+    }
+    // Two requests per second, so five callers need two seconds.
+    CHECK(last.mRetryAfter >= milliseconds(1900));
+    CHECK(last.mRetryAfter <= milliseconds(3500));
+  }
+}
+
+// Guards against waiting requests that nothing wakes when the limit allows the
+// next one.
+TEST_CASE("a request waits for the next one that the limits allow")
+{
+  LimitedPool pool(10);
+  Slot slot;
+  pool.Ask(milliseconds(300), slot);
+  CHECK(pool.mState.mPools["llm"].mQueue.size() == 1);
+  pool.mLoop.restart();
+  pool.mLoop.run_for(milliseconds(250));
+  CHECK(slot.mEndpoint);
+  CHECK(pool.mState.mPools["llm"].mQueue.empty());
+}
+
+TEST_CASE("returns are one request of the limits apart, up to a maximum")
+{
+  const TimePoint now{ std::chrono::hours(1) };
+  ServicePool pool;
+  LimitedService limited;
+  limited.mRate = 4;
+  CHECK(ScheduleReturn(pool, limited, 2, now) == now + milliseconds(500));
+  CHECK(ScheduleReturn(pool, limited, 2, now) == now + milliseconds(1000));
+  for (int i = 0; i < 100; ++i) {
+    ScheduleReturn(pool, limited, 2, now);
+  }
+  CHECK(ScheduleReturn(pool, limited, 2, now) == now + milliseconds(10000));
+  const auto later = now + std::chrono::minutes(1);
+  CHECK(ScheduleReturn(pool, limited, 1, later) == later + milliseconds(400));
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/peer/domain_summary_generated.h
+++ b/mangovalve/peer/domain_summary_generated.h
@@ -71,6 +71,7 @@
   std::vector<mangovalve::wire::TeamUse> teams{};
   std::vector<mangovalve::wire::PartitionHost> partitions{};
   std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
+  std::vector<mangovalve::wire::EndpointLimit> limits{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -92,7 +93,8 @@
     VT_QUEUES = 18,
     VT_TEAMS = 20,
     VT_PARTITIONS = 22,
-    VT_EVIDENCE = 24
+    VT_EVIDENCE = 24,
+    VT_LIMITS = 26
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -127,6 +129,9 @@
   const mangovalve::wire::CrashEvidence *evidence() const {
     return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
   }
+  const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -149,6 +154,8 @@
            verifier.VerifyVector(partitions()) &&
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyTable(evidence()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -193,6 +200,9 @@
   void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
     fbb_.AddOffset(DomainSummary::VT_EVIDENCE, evidence);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits) {
+    fbb_.AddOffset(DomainSummary::VT_LIMITS, limits);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -218,11 +228,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionHost *>> partitions = 0,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_limits(limits);
   builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
   builder_.add_teams(teams);
@@ -251,7 +263,8 @@
     const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
     const std::vector<mangovalve::wire::PartitionHost> *partitions = nullptr,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
@@ -259,6 +272,7 @@
   auto queues__ = queues ? _fbb.CreateVectorOfStructs<mangovalve::wire::ServiceQueue>(*queues) : 0;
   auto teams__ = teams ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamUse>(*teams) : 0;
   auto partitions__ = partitions ? _fbb.CreateVectorOfStructs<mangovalve::wire::PartitionHost>(*partitions) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointLimit>(*limits) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       host__,
@@ -271,7 +285,8 @@
       queues__,
       teams__,
       partitions__,
-      evidence);
+      evidence,
+      limits__);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -287,7 +302,8 @@
         queues(o.queues),
         teams(o.teams),
         partitions(o.partitions),
-        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr),
+        limits(o.limits) {
 }
 
 inline DomainSummaryT &DomainSummaryT::operator=(DomainSummaryT o) FLATBUFFERS_NOEXCEPT {
@@ -302,6 +318,7 @@
   std::swap(teams, o.teams);
   std::swap(partitions, o.partitions);
   std::swap(evidence, o.evidence);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -325,6 +342,7 @@
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
   { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -346,6 +364,7 @@
   auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
   auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       _host,
@@ -358,7 +377,8 @@
       _queues,
       _teams,
       _partitions,
-      _evidence);
+      _evidence,
+      _limits);
 }
 
 inline const mangovalve::wire::DomainSummary *GetDomainSummary(const void *buf) {
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -26,6 +26,8 @@
 
 struct PartitionOwner;
 
+struct EndpointLimit;
+
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
@@ -169,6 +171,45 @@
   using type = PartitionOwner;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  double rate_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  EndpointLimit()
+      : endpoint_(0),
+        rate_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointLimit(uint64_t _endpoint, double _rate, uint32_t _age_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        rate_(flatbuffers::EndianScalar(_rate)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  double rate() const {
+    return flatbuffers::EndianScalar(rate_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointLimit, 24);
+
+struct EndpointLimit::Traits {
+  using type = EndpointLimit;
+};
+
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   std::string host{};
@@ -181,6 +222,7 @@
   std::vector<mangovalve::wire::TeamUse> teams{};
   std::vector<mangovalve::wire::PartitionOwner> partitions{};
   std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
+  std::vector<mangovalve::wire::EndpointLimit> limits{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -201,7 +243,8 @@
     VT_QUEUES = 16,
     VT_TEAMS = 18,
     VT_PARTITIONS = 20,
-    VT_EVIDENCE = 22
+    VT_EVIDENCE = 22,
+    VT_LIMITS = 24
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -233,6 +276,9 @@
   const mangovalve::wire::CrashEvidence *evidence() const {
     return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
   }
+  const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -252,6 +298,8 @@
            verifier.VerifyVector(partitions()) &&
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyTable(evidence()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -293,6 +341,9 @@
   void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
     fbb_.AddOffset(LoadReport::VT_EVIDENCE, evidence);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits) {
+    fbb_.AddOffset(LoadReport::VT_LIMITS, limits);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -317,11 +368,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceQueue *>> queues = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_limits(limits);
   builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
   builder_.add_teams(teams);
@@ -348,13 +401,15 @@
     const std::vector<mangovalve::wire::ServiceQueue> *queues = nullptr,
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
     const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
   auto queues__ = queues ? _fbb.CreateVectorOfStructs<mangovalve::wire::ServiceQueue>(*queues) : 0;
   auto teams__ = teams ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamUse>(*teams) : 0;
   auto partitions__ = partitions ? _fbb.CreateVectorOfStructs<mangovalve::wire::PartitionOwner>(*partitions) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointLimit>(*limits) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       host__,
@@ -366,7 +421,8 @@
       queues__,
       teams__,
       partitions__,
-      evidence);
+      evidence,
+      limits__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -381,7 +437,8 @@
         queues(o.queues),
         teams(o.teams),
         partitions(o.partitions),
-        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr),
+        limits(o.limits) {
 }
 
 inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
@@ -395,6 +452,7 @@
   std::swap(teams, o.teams);
   std::swap(partitions, o.partitions);
   std::swap(evidence, o.evidence);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -417,6 +475,7 @@
   { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = *_e->Get(_i); } } }
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
   { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -437,6 +496,7 @@
   auto _teams = _o->teams.size() ? _fbb.CreateVectorOfStructs(_o->teams) : 0;
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
   auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       _host,
@@ -448,7 +508,8 @@
       _queues,
       _teams,
       _partitions,
-      _evidence);
+      _evidence,
+      _limits);
 }
 
 inline const mangovalve::wire::LoadReport *GetLoadReport(const void *buf) {
--- a/mangovalve/peer/report_exchange.cc
+++ b/mangovalve/peer/report_exchange.cc
@@ -98,6 +98,9 @@
       aReport.evidence.reset();
     }
   }
+  for (auto& limit : aReport.limits) {
+    limit = wire::EndpointLimit(limit.endpoint(), limit.rate(), 0);
+  }
   return Pack(aReport);
 }
 
--- a/mangovalve/peer/report_exchange.h
+++ b/mangovalve/peer/report_exchange.h
@@ -41,8 +41,8 @@
 auto SummaryInterval(std::size_t aHosts) -> Duration;
 
 // Bytes that differ between two reports if the later one has news. Ages of
-// evidence and quarantines are left out: ages change all the time, and a new
-// quarantine comes with the runs that caused it.
+// evidence and limits, and quarantines are left out: ages change all the time,
+// and a new quarantine comes with the runs that caused it.
 auto ComparableBytes(wire::LoadReportT aReport) -> std::string;
 
 class ReportExchange
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -60,6 +60,11 @@
   bool mWrongEndpoint = false; // the address now belongs to another endpoint
   bool mIsEventStream = false;
   std::optional<ReportedLoad> mLoad;
+  // Requests per second that the endpoint accepts from all hosts together;
+  // empty: no limit. Not negative, and finite.
+  std::optional<double> mLimit;
+  bool mLimitUnreadable = false; // there is a limit, but it can't be read
+  bool mLeaving = false;         // the endpoint finishes its requests and exits
 };
 
 // Operations on a batch job.
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -9,6 +9,7 @@
 
 #include "mangovalve/base/id.h"
 #include "mangovalve/membership/rendezvous.h"
+#include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
@@ -55,6 +56,12 @@
                    aEndpoint.mOwnInFlight.mBatch + peers.mBatch };
 }
 
+// Whether the endpoint finishes its requests and then exits.
+auto IsLeaving(const Endpoint& aEndpoint) -> bool
+{
+  return aEndpoint.mRegistration.mLeaving;
+}
+
 auto IsIn(std::span<const std::string> aIds, const std::string& aId) -> bool
 {
   return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
@@ -91,6 +98,7 @@
              { { "endpoint", aRegistration.mId } });
   }
   endpoint->mRegistration = aRegistration;
+  endpoint->mStatements = StatementsOf(aState, aRegistration, aNow);
   endpoint->mOwnDomain = aRegistration.mDomain == aState.mDomain;
 }
 
@@ -179,6 +187,7 @@
     for (const auto& [id, entry] : aState.mDirectory.mEntries) {
       SyncEndpoint(aState, entry.mRegistration, aNow);
     }
+    ForgetStatements(aState, aNow);
     aState.mSyncedRevision = aState.mDirectory.mRevision;
   }
   for (auto& [service, pool] : aState.mPools) {
@@ -190,23 +199,33 @@
   }
 }
 
+auto IsAvailable(const ServingState& aState,
+                 const Endpoint& aEndpoint,
+                 TimePoint aNow) -> bool
+{
+  return !IsLeaving(aEndpoint) && !IsCutOff(aState, aEndpoint) &&
+         Usable(aEndpoint.mHealth, aNow);
+}
+
 auto Candidates(const ServingState& aState,
                 const ServicePool& aPool,
+                LimitedUse aUse,
                 TimePoint aNow) -> std::vector<PlacementCandidate>
 {
   std::vector<PlacementCandidate> candidates;
   candidates.reserve(aPool.mEndpoints.size());
   auto usable = false;
   for (const auto& endpoint : aPool.mEndpoints) {
-    candidates.push_back(CandidateOf(aState, *endpoint, aNow));
-    usable = usable || candidates.back().mUsable;
+    candidates.push_back(CandidateOf(aState, *endpoint, aUse, aNow));
+    usable = usable || IsAvailable(aState, *endpoint, aNow);
   }
   // If no endpoint is healthy, try those that can be reached instead of
   // refusing every request.
   for (std::size_t i = 0; !usable && i < candidates.size(); ++i) {
     const auto& endpoint = *aPool.mEndpoints[i];
-    candidates[i].mUsable =
-      !endpoint.mRegistration.mLeaving && !IsCutOff(aState, endpoint);
+    candidates[i].mUsable = !IsLeaving(endpoint) &&
+                            !IsCutOff(aState, endpoint) &&
+                            MaySend(endpoint.mStatements->mLimit, aUse, aNow);
   }
   return candidates;
 }
@@ -223,14 +242,14 @@
 
 auto CandidateOf(const ServingState& aState,
                  const Endpoint& aEndpoint,
+                 LimitedUse aUse,
                  TimePoint aNow) -> PlacementCandidate
 {
   const auto total = TotalInFlight(aState, aEndpoint);
   PlacementCandidate candidate;
   candidate.mOwnDomain = aEndpoint.mOwnDomain;
-  candidate.mUsable = !aEndpoint.mRegistration.mLeaving &&
-                      !IsCutOff(aState, aEndpoint) &&
-                      Usable(aEndpoint.mHealth, aNow);
+  candidate.mUsable = IsAvailable(aState, aEndpoint, aNow) &&
+                      MaySend(aEndpoint.mStatements->mLimit, aUse, aNow);
   candidate.mSlots = aEndpoint.mRegistration.mSlots;
   candidate.mOnline = total.mOnline;
   candidate.mBatch = total.mBatch;
@@ -249,7 +268,7 @@
   std::vector<EndpointPtr> nearEndpoints;
   for (const auto& endpoint : aPool.mEndpoints) {
     if (endpoint->mOwnDomain && !IsIn(aTried, endpoint->mRegistration.mId)) {
-      near.push_back(CandidateOf(aState, *endpoint, aNow));
+      near.push_back(CandidateOf(aState, *endpoint, LimitedUse::Surplus, aNow));
       nearEndpoints.push_back(endpoint);
     }
   }
@@ -257,7 +276,7 @@
         PlaceOnFreeSlot(near, aState.mPlacement, aState.mRandom)) {
     return nearEndpoints[*place];
   }
-  const auto candidates = Candidates(aState, aPool, aNow);
+  const auto candidates = Candidates(aState, aPool, LimitedUse::Needed, aNow);
   std::vector<std::size_t> excluded;
   for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
     if (IsIn(aTried, aPool.mEndpoints[i]->mRegistration.mId)) {
@@ -417,6 +436,8 @@
   if (!ApplyReport(aState.mFleet, std::move(aReport), aNow)) {
     return;
   }
+  ApplyLimits(
+    aState, aState.mFleet.mPeers[host].mLast.limits, aState.mDomain, aNow);
   ApplyPeerEvidence(aState, evidence.get(), host, aNow);
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
@@ -456,6 +477,7 @@
     return;
   }
   const auto& summary = aState.mFleet.mDomains[name].mLast;
+  ApplyLimits(aState, summary.limits, name, aNow);
   ApplyPeerEvidence(aState, evidence.get(), summary.host, aNow);
   const auto newSender = result == SummaryResult::NewSender;
   if (newSender) {
@@ -518,6 +540,7 @@
   }
   report.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
+  report.limits = LimitsForReport(aState, aNow);
   return report;
 }
 
@@ -528,6 +551,7 @@
   auto summary = SummarizeDomain(aState.mFleet, aOwnReport, aNow);
   summary.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
+  summary.limits = LimitsForSummary(aState, aNow);
   for (const auto& [hash, rate] : aState.mRateOfHash) {
     if (rate->mRate > 0 &&
         rate->mDomainChangedAt > aNow - kAdmissionReportDuration) {
@@ -564,6 +588,7 @@
   for (const auto& host : removed) {
     RemovePeer(aState.mFleet, host);
   }
+  UpdateLimitParts(aState, aNow);
   const auto share = ShareOfRates(aState);
   for (auto& [team, rate] : aState.mRates) {
     SetShare(rate, share, aNow);
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -16,6 +16,7 @@
 #include "mangovalve/loop/http_client.h"
 #include "mangovalve/loop/wakeup.h"
 #include "mangovalve/routing/crash_suspects.h"
+#include "mangovalve/routing/endpoint_limit.h"
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
 #include "mangovalve/serving/document.h"
@@ -26,6 +27,26 @@
 
 namespace mangovalve {
 
+// From which host the latest statement of an endpoint comes.
+enum class StatementSource
+{
+  ThisHost, // it received the response itself
+  OwnDomain,
+  OtherDomain,
+};
+
+// What an endpoint has stated about itself in its responses since its start.
+struct EndpointStatements
+{
+  std::string mId; // of the endpoint, for the log
+  EndpointLimit mLimit;
+  StatementSource mSource = StatementSource::ThisHost; // of mLimit.mLatest
+  bool mLeaving = false; // it gets no new requests until its end
+  TimePoint mRegisteredAt{};
+};
+
+using EndpointStatementsPtr = std::shared_ptr<EndpointStatements>;
+
 // An endpoint as seen by this daemon. Requests in flight share ownership, so it
 // can outlive its registration.
 struct Endpoint
@@ -34,6 +55,7 @@
   std::uint64_t mHash = 0; // of the id, as in load reports
   bool mOwnDomain = false; // in the failure domain of this daemon
   Health mHealth;
+  EndpointStatementsPtr mStatements = std::make_shared<EndpointStatements>();
   InFlight mOwnInFlight;
   // Requests that the endpoint reported beyond those that the daemons' reports
   // account for, and when it reported them. The value decays with time.
@@ -68,6 +90,9 @@
   double mMeanSeconds = 0;
   // The same of the longest recent ones.
   double mLongestSeconds = 0;
+  // Callers that were refused because of the endpoints' limits are asked to
+  // return one after the other; the last of them then.
+  TimePoint mReturnsUntil{};
 };
 
 // Answers that this daemon keeps at the same time until they are complete.
@@ -84,13 +109,17 @@
   asio::io_context& mLoop;
   std::string mHost;   // address of this daemon for its peers
   std::string mDomain; // failure domain of this daemon
+  TimePoint mStartedAt = Clock::now();
   // Null until the first document is active.
   std::shared_ptr<const ServingDocument> mDocument;
   EndpointDirectory mDirectory;
   std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
-  std::map<std::string, FleetRate> mRates;   // by team
+  // By hash of an endpoint's id and start. Has the statements of all endpoints
+  // in mPools, and of former ones that still bind this host.
+  absl::flat_hash_map<std::uint64_t, EndpointStatementsPtr> mStatements;
+  std::map<std::string, FleetRate> mRates; // by team
   // The same rates by hash of the team, which load reports contain.
   std::map<std::uint64_t, FleetRate*> mRateOfHash;
   ConnectionPool mPool;
@@ -143,11 +172,18 @@
 // while the directory is unchanged.
 auto SyncPools(ServingState& aState, TimePoint aNow) -> void;
 
-// Placement candidates for the pool's endpoints, in the same order.
+// Placement candidates for the pool's endpoints, in the same order. Usable are
+// those whose limits allow aUse now.
 auto Candidates(const ServingState& aState,
                 const ServicePool& aPool,
+                LimitedUse aUse,
                 TimePoint aNow) -> std::vector<PlacementCandidate>;
 
+// Whether the endpoint may receive new requests, apart from its limit.
+auto IsAvailable(const ServingState& aState,
+                 const Endpoint& aEndpoint,
+                 TimePoint aNow) -> bool;
+
 // Whether nothing can reach the endpoint's failure domain from here: its
 // summaries have stopped and the store does not answer either. One of the two
 // alone may be a lost gateway or an outage of the store.
@@ -157,11 +193,13 @@
 // are all unhealthy.
 auto CandidateOf(const ServingState& aState,
                  const Endpoint& aEndpoint,
+                 LimitedUse aUse,
                  TimePoint aNow) -> PlacementCandidate;
 
 // Endpoint for an online request, outside the ids in aTried; null if online
-// requests hold all slots. Other domains are examined only if no endpoint of
-// the own domain has a free slot.
+// requests hold all slots, or the endpoints' limits allow no request now. The
+// caller calls RecordSent for it before it decides about another request. Other
+// domains are examined only if no endpoint of the own domain has a free slot.
 auto PlaceRequest(ServingState& aState,
                   const ServicePool& aPool,
                   std::span<const std::string> aTried,
