Send nothing more to endpoints that say in responses that they leave

An endpoint that leaves may go on answering 200 to a host that can't read the store, or whose record comes back there: 50 requests in the third second after it had said so (DRAIN). Cause: only the record in the store and a 421 were read.

The statement belongs to one start of the endpoint (id and start), so neither a record that lapses and returns nor the loss of all other endpoints makes it usable; a later start with the same id is another endpoint. Such an endpoint that ends a connection counts as leaving, not as crashed.

--- a/mangovalve/serving/endpoint_crash.cc
+++ b/mangovalve/serving/endpoint_crash.cc
@@ -55,6 +55,7 @@
 auto IsLeaving(const Endpoint& aEndpoint, TimePoint aNow) -> bool
 {
   return aEndpoint.mRemoved || aEndpoint.mRegistration.mLeaving ||
+         aEndpoint.mStatements->mLeaving ||
          aNow < aEndpoint.mHealth.mLeavingUntil;
 }
 
--- a/mangovalve/serving/endpoint_statements.cc
+++ b/mangovalve/serving/endpoint_statements.cc
@@ -173,6 +173,13 @@
     return;
   }
   auto& statements = *aEndpoint.mStatements;
+  if (aMetadata.mLeaving && !statements.mLeaving) {
+    statements.mLeaving = true;
+    aState.mPool.CloseIdleConnections(aEndpoint.mRegistration.mAddress);
+    LogEvent(Severity::Info,
+             "endpoint_leaving",
+             { { "endpoint", statements.mId }, { "source", "response" } });
+  }
   if (aMetadata.mLimitUnreadable) {
     LogEvent(Severity::Warn,
              "endpoint_limit_unreadable",
--- a/mangovalve/serving/endpoint_statements_test.cc
+++ b/mangovalve/serving/endpoint_statements_test.cc
@@ -219,6 +219,38 @@
   CHECK(host.mState.mStatements.size() == 1);
 }
 
+// Guards against requests to a leaving endpoint whose old record comes back,
+// and against a later start that is taken for it.
+TEST_CASE("an endpoint is leaving until its end, whatever its records say")
+{
+  const auto start = Clock::now();
+  Host host("10.0.0.1:1", "a", start);
+  const auto usable = [&](Duration aAfter) {
+    return host.IsUsable(LimitedUse::Needed, start + aAfter);
+  };
+  CHECK(usable(seconds(0)));
+  host.Hear(std::nullopt, start, true);
+  CHECK_FALSE(usable(seconds(0)));
+  // A later answer without the statement takes nothing back.
+  host.Hear(std::nullopt, start + seconds(1));
+  CHECK_FALSE(usable(seconds(30)));
+
+  auto& directory = host.mState.mDirectory;
+  Unregister(directory, "e", start + seconds(31));
+  SyncPools(host.mState, start + seconds(34));
+  REQUIRE(host.mState.mPools[kService].mEndpoints.empty());
+  Register(directory, MakeRegistration(1));
+  SyncPools(host.mState, start + seconds(35));
+  CHECK_FALSE(usable(seconds(35)));
+
+  Register(directory, MakeRegistration(2));
+  SyncPools(host.mState, start + seconds(36));
+  CHECK(usable(seconds(36)));
+  Register(directory, MakeRegistration(1));
+  SyncPools(host.mState, start + seconds(37));
+  CHECK_FALSE(usable(seconds(37)));
+}
+
 // Guards against senders outside the endpoint's domain beside those inside, and
 // against an endpoint that has no senders because its domain has no hosts.
 TEST_CASE("hosts of other domains send only if the endpoint's domain has none")
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -59,7 +59,7 @@
 // Whether the endpoint finishes its requests and then exits.
 auto IsLeaving(const Endpoint& aEndpoint) -> bool
 {
-  return aEndpoint.mRegistration.mLeaving;
+  return aEndpoint.mRegistration.mLeaving || aEndpoint.mStatements->mLeaving;
 }
 
 auto IsIn(std::span<const std::string> aIds, const std::string& aId) -> bool
