Close the connection on which an item was refused

Requests of callers were not affected: they never come to an endpoint twice, and an answer with another id, or with none on a connection in use again, is not theirs.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -531,6 +531,9 @@
     co_return RecordFailure(aRun, "response without an id");
   }
   if (metadata.mNotExecuted || metadata.mWrongEndpoint) {
+    // The item may come back under the same id, so a copy of this refusal could
+    // be taken for the answer then.
+    aConnection.mStream.close();
     RecordExchange(mState,
                    *aRun.mEndpoint,
                    metadata.mWrongEndpoint ? ExchangeResult::Leaving
--- a/standins/common/raw_server.cc
+++ b/standins/common/raw_server.cc
@@ -14,6 +14,7 @@
 
 auto RawServer::Listen(const std::string& aAddress) -> ErrorCode
 {
+  mAddress = aAddress;
   const auto address = ParseAddress(aAddress);
   if (!address) {
     return address.error();
--- a/standins/common/raw_server.h
+++ b/standins/common/raw_server.h
@@ -27,6 +27,7 @@
   auto SendForever(Tcp::socket& aSocket, std::string aBytes, Duration aPause)
     -> Task<>;
 
+  std::string mAddress;
   std::size_t mRequests = 0;
   std::size_t mBytesSent = 0;
   std::size_t mOpen = 0; // connections
