Keep errors out of streams that are resumed

Data without an id that followed numbered events was passed on as the next event, so the error message of an endpoint that answered a resumption appeared in the caller's stream, which then ended as if it were complete (the test failed before, also for items by the shared order of events). It now counts as a gap. A success that is no stream is no longer an answer to a resumption either, and the stream goes on at another endpoint; before, it was broken off.

--- a/mangovalve/online/event_stream.cc
+++ b/mangovalve/online/event_stream.cc
@@ -108,7 +108,10 @@
 auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
   -> EventOrder
 {
-  if (!aEvent.mId || !aLast || *aEvent.mId == *aLast + 1) {
+  if (!aEvent.mId) {
+    return aLast && IsProgress(aEvent) ? EventOrder::Gap : EventOrder::Next;
+  }
+  if (!aLast || *aEvent.mId == *aLast + 1) {
     return EventOrder::Next;
   }
   return *aEvent.mId <= *aLast ? EventOrder::Repeated : EventOrder::Gap;
--- a/mangovalve/online/event_stream.h
+++ b/mangovalve/online/event_stream.h
@@ -46,8 +46,9 @@
   Gap,      // events before it are missing
 };
 
-// Compares the event's id with aLast, the id of the last delivered event. An
-// event without an id counts as the next one.
+// Compares the event's id with aLast, the id of the last delivered event. Data
+// without an id has no place after numbered events; it may be an error message.
+// Without such events, and without data, it counts as the next event.
 auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
   -> EventOrder;
 
--- a/mangovalve/online/event_stream_test.cc
+++ b/mangovalve/online/event_stream_test.cc
@@ -87,6 +87,11 @@
   CHECK(OrderOf(third, 7) == EventOrder::Repeated);
   CHECK(OrderOf(third, 1) == EventOrder::Gap);
   CHECK(OrderOf(StreamEvent{}, 5) == EventOrder::Next);
+  // Guards against an error message that becomes part of a numbered stream.
+  const StreamEvent unnumbered{ "event: error\ndata: full\n\n", std::nullopt };
+  CHECK(OrderOf(unnumbered, 5) == EventOrder::Gap);
+  CHECK(OrderOf(unnumbered, std::nullopt) == EventOrder::Next);
+  CHECK(OrderOf({ ": comment\n\n", std::nullopt }, 5) == EventOrder::Next);
 }
 
 } // namespace
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -623,7 +623,7 @@
     NoteFailure(aEndpoint, absl::StrCat("status ", status));
     co_return StepResult::Failed;
   }
-  if (mContext.mHeadSent && !success) {
+  if (mContext.mHeadSent && (!success || !aMetadata.mIsEventStream)) {
     NoteFailure(aEndpoint, absl::StrCat("resumption refused: ", status));
     co_return StepResult::Failed;
   }
