Notice the end of a network partition soon after a start

Cause, from the log: while a table is loaded, the timeout of a page doubles with each failure, up to 4 s, also when the call could not be sent. The connection attempt that hung at the end of the partition lasted until its repeated opening packet, 14.18 s, after 12.56 s. Now only pages that do not arrive are waited for longer. The test failed before: an attempt of 800 ms instead of 100 ms.

--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -14,9 +14,11 @@
 // configuration must be active.
 constexpr auto kRetryDelay = std::chrono::milliseconds(200);
 
-// The timeout of a page doubles with each failure up to this value. When many
-// hosts load a table at once, the store needs seconds for their pages, and a
-// repeated read would only add to its work.
+// The timeout of a page doubles up to this value with each page that does not
+// arrive. When many hosts load a table at once, the store needs seconds for
+// their pages, and a repeated read would only add to its work. A read that
+// could not be sent is no work for the store: it is repeated soon, so that the
+// end of a network partition is noticed.
 constexpr Duration kMaxPageTimeout = std::chrono::seconds(4);
 
 auto TableName(Table aTable) -> std::string
@@ -77,7 +79,9 @@
       const auto page = co_await mPorts.mNewest(
         mTable, 0, mLoading.mAfterKey, Clock::now() + timeout);
       if (!page) {
-        mLoading.mPageTimeout = std::min(2 * timeout, kMaxPageTimeout);
+        mLoading.mPageTimeout = page.error().mKind == TableErrorKind::NotApplied
+                                  ? Duration::zero()
+                                  : std::min(2 * timeout, kMaxPageTimeout);
         co_return false;
       }
       // The pages are not a consistent snapshot, so all changes since the first
--- a/mangovalve/serving/table_follower_test.cc
+++ b/mangovalve/serving/table_follower_test.cc
@@ -2,6 +2,7 @@
 #include "mangovalve/serving/table_follower.h"
 
 #include <map>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -77,5 +78,40 @@
   CHECK(*changesFrom == kFirstEnd);
 }
 
+// Guards against a host that starts behind a network partition and notices its
+// end only after seconds: it went on using an endpoint that had left meanwhile.
+TEST_CASE("reads that can't be sent are repeated after the same time")
+{
+  for (const auto kind :
+       { TableErrorKind::NotApplied, TableErrorKind::Unknown }) {
+    asio::io_context loop;
+    std::vector<Duration> timeouts;
+    TablePorts ports;
+    ports.mNewest = [&](Table,
+                        std::uint32_t,
+                        std::string,
+                        TimePoint aDeadline) -> Task<TableResult<TablePage>> {
+      timeouts.push_back(aDeadline - Clock::now());
+      if (timeouts.size() == 4) {
+        loop.stop();
+      }
+      co_return Err(TableError{ kind, 0 });
+    };
+    const FollowPolicy policy{ milliseconds(1), false, milliseconds(100) };
+    Spawn(loop,
+          FollowTable(ports,
+                      Table::Endpoints,
+                      policy,
+                      { [](const auto&) {}, [](const auto&) {}, [](bool) {} }));
+    loop.run_for(std::chrono::seconds(20));
+    REQUIRE(timeouts.size() == 4);
+    if (kind == TableErrorKind::NotApplied) {
+      CHECK(timeouts[3] <= policy.mResponseTimeout);
+    } else {
+      CHECK(timeouts[3] > 4 * policy.mResponseTimeout);
+    }
+  }
+}
+
 } // namespace
 } // namespace mangovalve
