Let hosts that missed the end of a limit learn of it

A host that was cut off from its peers while a limit ended kept the limit for as long as the endpoint lived, unless it was one of the senders: it sends nothing to the endpoint, and the end is reported for 10 s only. With most hosts no senders of most endpoints, a large fleet could have refused most requests after a cut.

Limits and their ends are sent again when a host or domain is heard after a silence. A limit older than ten minutes is not reported, where its age was cut off and it seemed to become younger. Three tests, each failed before.

--- a/mangovalve/serving/endpoint_statements.cc
+++ b/mangovalve/serving/endpoint_statements.cc
@@ -27,6 +27,10 @@
 // Statements that are kept of endpoints that are not registered.
 constexpr std::size_t kMaxFormerEndpoints = 4096;
 
+// A limit that no host has heard again for this time may have ended unnoticed
+// by the hosts that are no senders.
+constexpr auto kUnconfirmedAfter = std::chrono::seconds(30);
+
 // A host that started less than this time ago has not heard all peers of its
 // domain yet, so it can't tell who the senders are.
 constexpr auto kSettlingTime = milliseconds(1500);
@@ -79,7 +83,10 @@
     }
     const auto& latest = statements->mLimit.mLatest;
     const auto age = std::chrono::duration_cast<milliseconds>(
-      std::clamp<Duration>(aNow - latest.mAt, {}, kStatementRetention));
+      std::max<Duration>(aNow - latest.mAt, {}));
+    if (age > kStatementRetention) {
+      continue;
+    }
     limits.emplace_back(key,
                         latest.mRate.value_or(kNoLimit),
                         static_cast<std::uint32_t>(age.count()));
@@ -243,6 +250,16 @@
   }
 }
 
+auto RepeatLimits(ServingState& aState, TimePoint aNow) -> void
+{
+  for (auto& [key, statements] : aState.mStatements) {
+    auto& limit = statements->mLimit;
+    if (limit.mChangedAt != TimePoint{}) {
+      limit.mChangedAt = aNow;
+    }
+  }
+}
+
 auto UpdateLimitParts(ServingState& aState, TimePoint aNow) -> void
 {
   std::optional<std::map<std::string, DomainHosts>> domains;
@@ -263,10 +280,14 @@
       const auto chosen = std::find(hosts.mResponsive.begin(),
                                     hosts.mResponsive.end(),
                                     aState.mHost) != hosts.mResponsive.end();
-      const auto part =
+      auto part =
         settled && chosen
           ? PartOfLimit(endpoint->mRegistration.mId, *limit.mLatest.mRate, view)
           : 0;
+      if (part <= 0 && aNow > limit.mLatest.mAt + kUnconfirmedAfter) {
+        part = kMinEndpointRate /
+               static_cast<double>(aState.mFleet.mPeers.size() + 1);
+      }
       SetPart(limit, part, aNow);
     }
   }
--- a/mangovalve/serving/endpoint_statements.h
+++ b/mangovalve/serving/endpoint_statements.h
@@ -55,7 +55,13 @@
                  const std::string& aDomain,
                  TimePoint aNow) -> void;
 
-// Updates this host's part of each limit from its view of the fleet.
+// Sends all limits and their ends again, because another host is heard that may
+// have missed them.
+auto RepeatLimits(ServingState& aState, TimePoint aNow) -> void;
+
+// Updates this host's part of each limit from its view of the fleet. A limit
+// that has not been confirmed for long may be tried by all hosts, at
+// kMinEndpointRate together.
 auto UpdateLimitParts(ServingState& aState, TimePoint aNow) -> void;
 
 // What the limits of a service allow, as seen by this host.
--- a/mangovalve/serving/endpoint_statements_test.cc
+++ b/mangovalve/serving/endpoint_statements_test.cc
@@ -3,6 +3,7 @@
 
 #include <limits>
 #include <memory>
+#include <string>
 
 #include <doctest/doctest.h>
 
@@ -295,6 +296,67 @@
   CHECK(host.IsUsable(LimitedUse::Spare, start + milliseconds(3100)));
 }
 
+// Guards against a host that was cut off while a limit ended and never learns
+// of the end, because it sends nothing to the endpoint.
+TEST_CASE("a host that is heard again is told of limits that have ended")
+{
+  const auto start = Clock::now();
+  Host first("10.0.0.1:1", "a", start);
+  Host cut("10.0.0.2:1", "a", start);
+  first.Hear(1, start);
+  ApplyPeerReport(cut.mState, first.Report(start), 9, start);
+  ApplyPeerReport(first.mState, cut.Report(start), 9, start);
+  REQUIRE(IsLimited(cut.Limit()));
+
+  const auto later = start + seconds(60);
+  first.Hear(std::nullopt, start + seconds(5));
+  first.Hear(std::nullopt, later);
+  UpdatePeerLiveness(first.mState, start + seconds(4));
+  ApplyPeerReport(first.mState, cut.Report(later), 9, later);
+  ApplyPeerReport(cut.mState, first.Report(later), 9, later);
+  CHECK_FALSE(IsLimited(first.Limit()));
+  CHECK_FALSE(IsLimited(cut.Limit()));
+}
+
+// The same for a host that could not hear the others although they heard it,
+// and against many hosts that all try an endpoint at once.
+TEST_CASE("a limit that nobody has confirmed for long is tried by all hosts")
+{
+  const auto start = Clock::now();
+  auto total = 0.0;
+  constexpr auto kHosts = 40;
+  const auto address = [](int aIndex) {
+    return "10.0.0." + std::to_string(aIndex) + ":1";
+  };
+  for (auto self = 0; self < kHosts; ++self) {
+    Host host(address(self), "a", start);
+    for (auto peer = 0; peer < kHosts; ++peer) {
+      if (peer != self) {
+        AddPeer(host.mState.mFleet, address(peer), "a", start);
+        host.mState.mFleet.mPeers[address(peer)].mUnresponsive = false;
+      }
+    }
+    host.Hear(0, start);
+    const auto before = host.Limit().mPart;
+    UpdateLimitParts(host.mState, start + seconds(31));
+    CHECK(host.Limit().mPart > 0);
+    total += before > 0 ? 0 : host.Limit().mPart;
+  }
+  CHECK(total <= kMinEndpointRate);
+}
+
+// Guards against a limit that seems to be younger with each report.
+TEST_CASE("a limit that is not confirmed for ten minutes is not reported")
+{
+  const auto start = Clock::now();
+  Host host("10.0.0.1:1", "a", start);
+  host.Hear(1, start);
+  const auto late = host.Report(start + std::chrono::minutes(9));
+  REQUIRE(late.limits.size() == 1);
+  CHECK(late.limits[0].age_ms() == 9 * 60 * 1000);
+  CHECK(host.Report(start + std::chrono::minutes(11)).limits.empty());
+}
+
 // Guards against a limit that is taken for a failure of the endpoint.
 TEST_CASE("a limit that allows no request leaves the endpoint healthy")
 {
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -456,6 +456,7 @@
   }
   if (wasUnresponsive) {
     RepeatEvidence(aState.mSuspectExchange, aNow);
+    RepeatLimits(aState, aNow);
     UpdatePeerLiveness(aState, aNow);
     LogEvent(Severity::Info, "peer_heard", { { "peer", host } });
   }
@@ -482,6 +483,7 @@
   const auto newSender = result == SummaryResult::NewSender;
   if (newSender) {
     RepeatEvidence(aState.mSuspectExchange, aNow);
+    RepeatLimits(aState, aNow);
     ResetBaselines(aState, summary.host);
     UpdatePeerLiveness(aState, aNow);
     LogEvent(Severity::Info,
