--- a/mangovalve/routing/endpoint_limit.h
+++ b/mangovalve/routing/endpoint_limit.h
@@ -11,9 +11,9 @@
 // any time w.
 //
 // The hosts choose the senders from their own views of the fleet, without
-// agreement. A host more in one view than in another one adds its part of the
-// rate and one request. A host that has not heard a statement is not bound by
-// it until the first response that it gets itself.
+// agreement. Where views differ, each additional sender adds its part of the
+// rate and kSavedRequests. A host that has not heard of a limit learns of it
+// from its first response.
 //
 // The functions are pure; the current time is a parameter.
 #pragma once
@@ -47,7 +47,7 @@
   LimitStatement mLatest;
   TimePoint mChangedAt{}; // when the rate of mLatest last changed here
   // This host's part of the rate, in requests per second; 0 if it is not a
-  // sender. Has no meaning without a limit.
+  // sender or there is no limit.
   double mPart = 0;
   // When this host may send its next request; never while mPart is 0. The
   // longer ago, the more requests are saved, up to kSavedRequests.
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -41,8 +41,8 @@
   std::string mId; // of the endpoint, for the log
   EndpointLimit mLimit;
   StatementSource mSource = StatementSource::ThisHost; // of mLimit.mLatest
-  bool mLeaving = false; // it gets no new requests until its end
-  TimePoint mRegisteredAt{};
+  bool mLeaving = false;     // it gets no new requests until its end
+  TimePoint mRegisteredAt{}; // when its registration was last read
 };
 
 using EndpointStatementsPtr = std::shared_ptr<EndpointStatements>;
