--- a/mangovalve/serving/endpoint_statements.h
+++ b/mangovalve/serving/endpoint_statements.h
@@ -5,8 +5,8 @@
 //
 // Load reports contain only what the sender has received from the endpoint
 // itself, and summaries only what hosts of the sender's domain have. So a
-// statement is passed on at most twice, and its age, which replaces its time,
-// can't fall behind more and more on the way. The newest statement counts.
+// statement is passed on at most twice, and the error of its age, which is sent
+// instead of its time, is bounded. The newest statement counts.
 //
 // That an endpoint is leaving is not exchanged: each host notices it, or reads
 // it in the store.
