--- a/review/common/fleet.cc
+++ b/review/common/fleet.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <set>
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
@@ -131,6 +132,7 @@
   const auto ip = absl::StrFormat(
     "127.%d.%d.1", 1 + (pid / kRange) % kRange, 1 + pid % kRange);
   const auto address = asio::ip::make_address(ip);
+  static std::set<std::uint16_t> taken;
   asio::io_context loop;
   for (;;) {
     const Tcp::acceptor tcp(loop, { address, std::uint16_t{} });
@@ -138,7 +140,7 @@
     Udp::socket udp(loop, Udp::v4());
     ErrorCode error;
     udp.bind({ address, port }, error);
-    if (!error) {
+    if (!error && taken.insert(port).second) {
       return absl::StrCat(ip, ":", port);
     }
   }
