--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,226 +1,207 @@
-// Replicas spoil three in a hundred of their answers: within a stream, the
-// bytes of one event are wrong. Resumable streams then go on at other replicas.
-#include <absl/strings/numbers.h>
+// The owner of a partition of batch jobs is frozen for four seconds, and the
+// answer to its first call to the store's group after that is lost.
+#include <csignal>
+
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
-#include <absl/strings/str_split.h>
-#include <absl/strings/strip.h>
 
+#include "mangovalve/batch/job_table.h"
 #include "platform/names.h"
 #include "review/common/fleet.h"
 
 namespace mangovalve::review {
 namespace {
 
-constexpr std::size_t kStreams = 384;
-constexpr std::size_t kClients = 24;
-constexpr std::uint64_t kEvents = 28; // as of the users' phrase-hint-long
-constexpr auto kPerEvent = milliseconds(20);
-constexpr std::size_t kReplicas = 6;
-constexpr std::size_t kFaulty = 3;     // replicas that spoil answers
-constexpr std::uint64_t kOneIn = 34;   // of all answers is spoiled
-constexpr std::uint64_t kSpoiled = 12; // event whose bytes are wrong
-constexpr auto kPatience = seconds(5); // Deadline-Ms
-constexpr auto kSettling = seconds(2);
-// The time in which answers are spoiled, from the first request on.
-constexpr auto kTroubleFrom = seconds(2);
-constexpr auto kTroubleFor = seconds(5);
+constexpr std::uint32_t kPartitions = 8;
+constexpr std::size_t kItems = 10; // the users' jobs have about 10
+constexpr auto kFreeze = seconds(4);
+constexpr auto kUntilTaken = milliseconds(2600); // ttlMs of the members is 2 s
+constexpr auto kContact = seconds(3);            // contactMs
+constexpr auto kSettle = seconds(1);             // settleMs
+constexpr auto kFinish = seconds(18);            // finishS
+constexpr auto kPause = milliseconds(500);
+constexpr auto kLimit = seconds(15); // for each wait of the preparation
 
-struct Counts
-{
-  TimePoint mFrom{};          // begin of the time in which answers are spoiled
-  std::uint64_t mAnswers = 0; // begun in that time, by all replicas
-  std::uint64_t mDue = 0;     // answers to be spoiled
-  std::uint64_t mSpoiled = 0;
-  std::size_t mClients = 0; // that have not ended
-};
+using Shares = std::map<std::pair<std::string, std::uint32_t>, std::string>;
 
-auto HeaderText(const Request& aRequest, const char* aName) -> std::string
+auto Group(Fleet& aFleet) -> standin::StoreGroup&
 {
-  const auto value = aRequest[aName];
-  return { value.data(), value.size() };
+  return aFleet.mStore.mStore.mGroups[platform::kJobsGroup];
 }
 
-auto EventOf(const std::string& aId, std::uint64_t aNumber) -> std::string
+// Who holds which partition; empty while partitions change hands.
+auto Deal(Fleet& aFleet) -> Shares
 {
-  return absl::StrCat("id: ", aNumber, "\ndata: ", aId, "-", aNumber, "\n\n");
+  Shares deal;
+  for (const auto& [part, share] : Group(aFleet).mShares) {
+    if (!share.mReleasing.empty()) {
+      return {};
+    }
+    deal[part] = share.mOwner;
+  }
+  return deal;
 }
 
-// A replica that streams, resumes, and spoils some of its answers.
-class Replica
+// The store deals the partitions as it did to the same members before. Those
+// that held them meanwhile have to give them up first.
+auto DealAgain(Fleet& aFleet, const Shares& aDeal) -> void
 {
-public:
-  Replica(asio::io_context& aLoop,
-          std::string aId,
-          Counts& aCounts,
-          bool aFaulty)
-    : mId(std::move(aId))
-    , mCounts(aCounts)
-    , mFaulty(aFaulty)
-    , mServer(
-        aLoop,
-        [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
-          return Answer(std::move(aCaller), std::move(aRequest));
-        },
-        [] { return CallerLimits{}; })
-  {
-  }
-
-  auto Listen(const std::string& aAddress) -> ErrorCode
-  {
-    return mServer.Listen(aAddress);
-  }
-
-private:
-  auto Answer(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>
-  {
-    const auto id = HeaderText(*aRequest, platform::kRequestId);
-    ResponseHead head;
-    head.result(200U);
-    head.set(platform::kRequestId, id);
-    head.set(platform::kSignature, "by-" + mId);
-    head.set(http::field::content_type, "text/event-stream");
-    std::uint64_t last = 0;
-    // Without the header, the stream begins at its first event.
-    static_cast<void>(
-      absl::SimpleAtoi(HeaderText(*aRequest, platform::kLastEventId), &last));
-    const auto now = Clock::now();
-    const auto trouble =
-      now >= mCounts.mFrom && now < mCounts.mFrom + kTroubleFor;
-    if (trouble) {
-      ++mCounts.mAnswers;
-      mCounts.mDue += mCounts.mAnswers % kOneIn == 0 ? 1 : 0;
-    }
-    const auto spoil =
-      Fleet::Trouble() && trouble && mFaulty && mCounts.mDue > 0;
-    if (spoil) {
-      --mCounts.mDue;
-      ++mCounts.mSpoiled;
+  for (auto& [part, share] : Group(aFleet).mShares) {
+    if (share.mReleasing.empty()) {
+      share.mReleasing = share.mOwner;
     }
-    std::string nothing;
-    co_await aCaller->BeginChunks(head, std::move(nothing));
-    for (auto number = last + 1; number <= kEvents; ++number) {
-      co_await SleepUntil(Clock::now() + kPerEvent);
-      if (aCaller->Disconnected()) {
-        co_return;
-      }
-      auto bytes = EventOf(id, number);
-      // One step of the engine gives two events, of which the second has wrong
-      // bytes.
-      if (spoil && number + 1 == kSpoiled) {
-        auto wrong = EventOf(id, ++number);
-        wrong.replace(0, 3, "#?!");
-        bytes += wrong;
-      }
-      co_await aCaller->SendChunk(std::move(bytes));
+    share.mOwner = aDeal.at(part);
+    if (share.mReleasing == share.mOwner) {
+      share.mReleasing.clear();
     }
-    co_await aCaller->EndChunks();
   }
+}
 
-  std::string mId;
-  Counts& mCounts;
-  bool mFaulty;
-  AsyncHttpServer mServer;
-};
-
-// The numbers of the events in the stream, in their order.
-auto EventNumbers(const std::string& aBody) -> std::vector<std::uint64_t>
+// Waits until all daemons are members and hold their partitions for a while.
+auto AwaitDeal(Fleet& aFleet) -> Task<Shares>
 {
-  std::vector<std::uint64_t> numbers;
-  for (auto line : absl::StrSplit(aBody, '\n')) {
-    std::uint64_t number = 0;
-    if (absl::ConsumePrefix(&line, "id: ") && absl::SimpleAtoi(line, &number)) {
-      numbers.push_back(number);
+  const auto until = Clock::now() + kLimit;
+  Shares last;
+  auto since = Clock::now();
+  while (Clock::now() < until) {
+    const auto deal = Deal(aFleet);
+    if (deal != last ||
+        Group(aFleet).mMembers.size() < aFleet.mDaemons.size()) {
+      since = Clock::now();
+      last = deal;
+    }
+    if (!last.empty() && Clock::now() - since > seconds(2)) {
+      co_return last;
     }
+    co_await SleepUntil(Clock::now() + milliseconds(50));
   }
-  return numbers;
+  co_return Shares();
 }
 
-// What is wrong with a stream that ended as complete; empty: nothing.
-auto Problem(const std::string& aId, const std::string& aBody) -> std::string
+auto FindMember(Fleet& aFleet, const std::string& aPeers) -> Daemon*
 {
-  std::string whole;
-  for (std::uint64_t number = 1; number <= kEvents; ++number) {
-    whole += EventOf(aId, number);
+  for (auto& daemon : aFleet.mDaemons) {
+    if (daemon.mPeers == aPeers) {
+      return &daemon;
+    }
   }
-  return aBody == whole ? ""
-                        : absl::StrCat("its events are ",
-                                       absl::StrJoin(EventNumbers(aBody), " "));
+  return nullptr;
 }
 
-auto AskStream(Fleet& aFleet, std::string aId, const Daemon& aDaemon) -> Task<>
+// Freezes the owner, lets the job be accepted meanwhile, wakes the owner and
+// loses the answer to its first join. True if the job was accepted.
+auto FreezeOwner(Fleet& aFleet,
+                 Daemon& aOwner,
+                 const Shares& aDeal,
+                 const std::string& aTenant,
+                 const std::string& aJob) -> Task<bool>
 {
-  Request request(http::verb::post, "/hint/2f", 11);
-  request.set(http::field::host, "hints.example");
-  request.set(platform::kCallerKey, "key-amber");
-  request.set(platform::kRequestId, aId);
-  request.set("Model", "m");
-  request.set("Token-Usage", "450,28");
-  request.set(platform::kPromptParts,
-              absl::StrCat("5c1e07a2:200,", aId, ":250"));
-  request.set(platform::kDeadline, "5000");
-  request.body() = "prompt of " + aId;
-  const auto reply =
-    co_await aFleet.Call(aDaemon, std::move(request), kPatience);
-  const auto problem =
-    reply.mStatus == 200 ? Problem(aId, reply.mBody) : std::string();
-  aFleet.Record(absl::StrCat("stream ",
-                             aId,
-                             " at ",
-                             aDaemon.mName,
-                             " -> ",
-                             reply.mStatus,
-                             " ",
-                             reply.mError));
-  if (!problem.empty()) {
-    aFleet.Break(
-      absl::StrCat("ORDER: stream ", aId, " ended as complete, but ", problem));
+  const auto frozenAt = Clock::now();
+  Fleet::Signal(aOwner, SIGSTOP);
+  aFleet.Record(aOwner.mName + " is frozen");
+  co_await SleepUntil(frozenAt + kUntilTaken);
+  const auto items = MakeItems(aJob, kItems);
+  auto accepted = false;
+  for (std::size_t i = 0; !accepted && i < aFleet.mDaemons.size(); ++i) {
+    const auto& daemon = aFleet.mDaemons[i];
+    if (&daemon != &aOwner) {
+      const auto reply = co_await aFleet.Submit(daemon, aTenant, aJob, items);
+      accepted = reply.mStatus == 202;
+    }
+  }
+  co_await SleepUntil(frozenAt + kFreeze);
+  auto& proxy = *aOwner.mStore;
+  proxy.mLoseAnswersOf = platform::kJoinPath;
+  Fleet::Signal(aOwner, SIGCONT);
+  aFleet.Record(aOwner.mName + " runs again");
+  const auto until = Clock::now() + kLimit;
+  while (proxy.mLost == 0 && Clock::now() < until) {
+    co_await SleepUntil(Clock::now() + milliseconds(1));
   }
+  proxy.mLoseAnswersOf.clear();
+  while (!Group(aFleet).mMembers.contains(aOwner.mPeers) &&
+         Clock::now() < until) {
+    co_await SleepUntil(Clock::now() + milliseconds(1));
+  }
+  DealAgain(aFleet, aDeal);
+  aFleet.Record(absl::StrCat("the store has done the join of ",
+                             aOwner.mName,
+                             ", its answer is lost (",
+                             proxy.mLost,
+                             " answers)"));
+  co_return accepted;
 }
 
-auto RunClient(Fleet& aFleet, std::size_t aClient, Counts& aCounts) -> Task<>
+// Reads the job at all daemons. All of them are in touch, and settleMs has
+// passed. Returns the most results that were read.
+auto ReadEverywhere(Fleet& aFleet,
+                    const std::string& aTenant,
+                    const std::string& aJob) -> Task<std::size_t>
 {
-  for (std::size_t i = 0; i < kStreams / kClients; ++i) {
-    auto id = absl::StrCat("c", aClient, "a", i);
-    const auto& daemon =
-      aFleet.mDaemons[(aClient + i) % aFleet.mDaemons.size()];
-    co_await AskStream(aFleet, std::move(id), daemon);
+  std::size_t results = 0;
+  for (const auto& daemon : aFleet.mDaemons) {
+    const auto reply = co_await aFleet.ReadResults(daemon, aTenant, aJob);
+    if (reply.mStatus == 404 || reply.mStatus == 410) {
+      aFleet.Break(absl::StrCat("LOST: ",
+                                daemon.mName,
+                                " answers ",
+                                reply.mStatus,
+                                " for the accepted job ",
+                                aJob));
+    }
+    const auto page = Json::parse(reply.mBody, nullptr, false);
+    if (reply.mStatus == 200 && page.is_object()) {
+      results = std::max(results, page["results"].size());
+    }
   }
-  --aCounts.mClients;
+  co_return results;
 }
 
 auto RunIt(Fleet& aFleet) -> Task<int>
 {
-  static Counts counts;
-  static std::deque<Replica> replicas;
-  for (std::size_t i = 0; i < kReplicas; ++i) {
-    const auto id = absl::StrCat("i-", i);
-    const auto address = FreeAddress();
-    auto& replica =
-      replicas.emplace_back(aFleet.mLoop, id, counts, i < kFaulty);
-    if (replica.Listen(address)) {
-      co_return kCouldNotRun;
-    }
-    aFleet.RegisterReplica("hint-llm", id, address, 8);
+  standin::EndpointOptions options;
+  options.mEvents = 194; // as of the users' lexicon-batch, 20 ms each
+  options.mPerEvent = milliseconds(20);
+  for (int i = 0; i < 6; ++i) {
+    options.mId = absl::StrCat("i-", i);
+    aFleet.AddReplica("hint-llm", options);
   }
   const auto started = co_await aFleet.Start();
   if (!started) {
     co_return kCouldNotRun;
   }
-  co_await SleepUntil(Clock::now() + kSettling);
-  counts.mFrom = Clock::now() + kTroubleFrom;
-  counts.mClients = kClients;
-  for (std::size_t i = 0; i < kClients; ++i) {
-    Spawn(aFleet.mLoop, RunClient(aFleet, i, counts));
+  const auto deal = co_await AwaitDeal(aFleet);
+  const auto tenant = Tenants().front();
+  const auto part = std::pair(std::string(platform::kJobsTopic),
+                              PartitionOf(tenant, kPartitions));
+  auto* owner =
+    deal.contains(part) ? FindMember(aFleet, deal.at(part)) : nullptr;
+  if (owner == nullptr) {
+    co_return kCouldNotRun;
   }
-  while (counts.mClients > 0) {
-    co_await SleepUntil(Clock::now() + milliseconds(50));
+  aFleet.Record(absl::StrCat(
+    "partition ", part.second, " of ", tenant, " belongs to ", owner->mName));
+  const std::string job = "job-1";
+  const auto items = MakeItems(job, kItems);
+  const auto accepted =
+    Fleet::Trouble() ? co_await FreezeOwner(aFleet, *owner, deal, tenant, job)
+                     : co_await aFleet.SubmitUntilAccepted(
+                         tenant, job, items, Clock::now() + kLimit);
+  if (!accepted) {
+    co_return kCouldNotRun;
+  }
+  // Until all daemons are in touch and have settled. The second join of the
+  // owner follows its first one by 2.1 s at most.
+  co_await SleepUntil(Clock::now() + seconds(3) + kContact + kSettle);
+  const auto until = Clock::now() + kFinish;
+  std::size_t results = 0;
+  while (Clock::now() < until && results < kItems) {
+    results = co_await ReadEverywhere(aFleet, tenant, job);
+    co_await SleepUntil(Clock::now() + kPause);
+  }
+  if (results < kItems) {
+    aFleet.Break(absl::StrCat(
+      "LOST: of ", kItems, " accepted items, ", results, " are listed"));
   }
-  aFleet.Record(absl::StrCat(counts.mAnswers,
-                             " answers begun within ",
-                             kTroubleFor.count(),
-                             " s, spoiled: ",
-                             counts.mSpoiled));
   co_return aFleet.Verdict();
 }
 
