Release job partitions whose membership may have lapsed in between

Cause: ApplyAssignment() kept every partition that an answer listed. After a suspension of 4 s and a join whose answer was lost, the first answer that arrived listed the partition again, so the owner never saw that it had belonged to another member. Its state was that of before, and its lease was valid again, so it answered "not found" with certainty.

Change: JobLease decides, from the generation and from the time at which an answer arrives, whether the partitions were held all the time since the last answer. If the lease has lapsed and the generation has changed, all of them are released and loaded again, under a new fence. It uses the time of arrival, since the store may process a call at any time up to it.

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -107,7 +107,7 @@
 
 auto JobService::LeaseValid() const -> bool
 {
-  return BootNow() < mLeaseUntil;
+  return IsValid(mLease, BootNow());
 }
 
 auto JobService::OwnPartition(std::uint32_t aPartition) const -> JobPartitionPtr
@@ -156,10 +156,20 @@
     const auto assignment = co_await mTables.mJoin(
       mState.mHost,
       mPolicy.mTimeToLive,
-      mGeneration,
+      mLease.mGeneration,
       started + std::min(mPolicy.mTimeToLive, mPolicy.mCallTimeout));
     if (assignment && !mLeaving) {
-      mLeaseUntil = sentAt + mPolicy.mTimeToLive;
+      const auto held = RenewLease(mLease,
+                                   assignment->mGeneration,
+                                   sentAt + mPolicy.mTimeToLive,
+                                   BootNow());
+      if (!held) {
+        LogEvent(Severity::Warn,
+                 "membership_lapsed",
+                 { { "generation", absl::StrCat(mLease.mGeneration) },
+                   { "released", absl::StrCat(mPartitions.size()) } });
+        ReleaseAll();
+      }
       ApplyAssignment(*assignment);
     }
     ExpireFormerPartitions(Clock::now());
@@ -167,9 +177,16 @@
   }
 }
 
+auto JobService::ReleaseAll() -> void
+{
+  for (const auto& [number, partition] : mPartitions) {
+    Release(partition);
+  }
+  mPartitions.clear();
+}
+
 auto JobService::ApplyAssignment(const GroupAssignment& aAssignment) -> void
 {
-  mGeneration = aAssignment.mGeneration;
   const std::set<std::uint32_t> held(aAssignment.mPartitions.begin(),
                                      aAssignment.mPartitions.end());
   for (auto it = mPartitions.begin(); it != mPartitions.end();) {
@@ -186,7 +203,7 @@
         mState.mLoop,
         mTables,
         number,
-        mGeneration,
+        aAssignment.mGeneration,
         mStartedAt,
         [this](std::uint32_t aPartition, std::uint64_t aGeneration) {
           return FetchProgress(aPartition, aGeneration);
@@ -311,10 +328,7 @@
     co_await SleepUntil(Clock::now() + kFlushPoll);
   }
   mLeaving = true;
-  for (const auto& [number, partition] : mPartitions) {
-    Release(partition);
-  }
-  mPartitions.clear();
+  ReleaseAll();
   const auto left =
     co_await mTables.mLeave(mState.mHost, Clock::now() + mPolicy.mCallTimeout);
   if (!left) {
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "mangovalve/batch/item_runner.h"
+#include "mangovalve/batch/job_lease.h"
 #include "mangovalve/batch/job_partition.h"
 #include "mangovalve/serving/state.h"
 
@@ -87,7 +88,9 @@
   };
 
   auto MaintainMembership() -> Task<>;
+  // Stops the partitions that are no longer assigned, and loads the new ones.
   auto ApplyAssignment(const GroupAssignment& aAssignment) -> void;
+  auto ReleaseAll() -> void;
   // Stops a partition that is no longer owned and retains it for the handoff.
   auto Release(JobPartitionPtr aPartition) -> void;
   auto ExpireFormerPartitions(TimePoint aNow) -> void;
@@ -126,9 +129,8 @@
     TimePoint mRetainUntil;
   };
   std::map<std::uint32_t, FormerPartition> mFormer; // disjoint from mPartitions
-  std::uint64_t mGeneration = 0;
+  JobLease mLease;
   WallTime mStartedAt = WallNow();
-  BootTime mLeaseUntil{};
   bool mLeaving = false;
 };
 
