Send the events before a gap instead of dropping them

Cause: ForwardEvents() advanced the position of the stream for each event of a read while it collected their bytes, and returned at the first gap without sending them. The next attempt resumed after the dropped events.

Change: SelectNext() selects the events up to the first gap and advances the position over exactly these; the relay sends them and then reports the gap. The item runner uses the same function. The same happened to whole events read together with the start of one that exceeds the size limit: they were refused with it. They are delivered first now.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -44,27 +44,20 @@
   return aNow + (aJob.mSubmittedAt + route->mAbandonAfter - WallNow());
 }
 
-// Appends the data of the events that follow those received before, skipping
-// repeated ones; false if events in between are missing.
-auto AppendEvents(BatchItem& aItem, const std::vector<StreamEvent>& aEvents)
-  -> bool
+// Appends the data of the events that follow those received before, up to the
+// first gap; false if there is one.
+auto AppendEvents(BatchItem& aItem, std::vector<StreamEvent> aEvents) -> bool
 {
-  for (const auto& event : aEvents) {
-    const auto order = OrderOf(event, aItem.mLastEvent);
-    if (order == EventOrder::Gap) {
-      return false;
-    }
-    if (order == EventOrder::Repeated || !IsProgress(event)) {
+  const auto selection = SelectNext(std::move(aEvents), aItem.mLastEvent);
+  for (const auto& event : selection.mNext) {
+    if (!IsProgress(event)) {
       continue;
     }
-    if (aItem.mLastEvent || !aItem.mOutput.empty()) {
-      aItem.mOutput += '\n';
-    }
+    aItem.mOutput += aItem.mEvents > 0 ? "\n" : "";
     aItem.mOutput += EventData(event);
-    aItem.mLastEvent = event.mId ? event.mId : aItem.mLastEvent;
     ++aItem.mEvents;
   }
-  return true;
+  return !selection.mGap;
 }
 
 // Makes the next run of the item start with its first event.
@@ -565,22 +558,23 @@
       NoteError(aRun, bytes.error());
       co_return RecordFailure(aRun, bytes.error().message());
     }
-    const auto events = SplitEvents(splitter, *bytes);
+    auto events = SplitEvents(splitter, *bytes);
     if (!aRun.mAnswerBegun &&
         std::any_of(events.begin(), events.end(), IsProgress)) {
       NoteAnswerBegun(aRun);
     }
-    if (IsOverlong(splitter)) {
-      co_return RecordFailure(aRun, "event exceeds the size limit");
-    }
     const auto before = item.mEvents;
-    if (!AppendEvents(item, events)) {
+    const auto complete = AppendEvents(item, std::move(events));
+    aRun.mEvents += item.mEvents - before;
+    if (!complete) {
       co_return RecordFailure(aRun, "events are missing in the stream");
     }
+    if (IsOverlong(splitter)) {
+      co_return RecordFailure(aRun, "event exceeds the size limit");
+    }
     if (item.mEvents > before) {
       progressBy = nextDeadline();
     }
-    aRun.mEvents += item.mEvents - before;
     if (item.mOutput.size() > kMaxOutputBytes) {
       RecordFailure(aRun, "output exceeds the size limit");
       DiscardOutput(item);
--- a/mangovalve/online/event_stream.cc
+++ b/mangovalve/online/event_stream.cc
@@ -117,4 +117,22 @@
   return *aEvent.mId <= *aLast ? EventOrder::Repeated : EventOrder::Gap;
 }
 
+auto SelectNext(std::vector<StreamEvent> aEvents,
+                std::optional<std::uint64_t>& aLast) -> EventSelection
+{
+  EventSelection selection;
+  for (auto& event : aEvents) {
+    const auto order = OrderOf(event, aLast);
+    if (order == EventOrder::Gap) {
+      selection.mGap = true;
+      break;
+    }
+    if (order == EventOrder::Next) {
+      aLast = event.mId ? event.mId : aLast;
+      selection.mNext.push_back(std::move(event));
+    }
+  }
+  return selection;
+}
+
 } // namespace mangovalve
--- a/mangovalve/online/event_stream.h
+++ b/mangovalve/online/event_stream.h
@@ -52,4 +52,15 @@
 auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
   -> EventOrder;
 
+struct EventSelection
+{
+  std::vector<StreamEvent> mNext; // to be delivered, in order
+  bool mGap = false;              // events are missing after them
+};
+
+// Selects the events that follow aLast, up to the first gap, and sets aLast to
+// the id of the last one of them.
+auto SelectNext(std::vector<StreamEvent> aEvents,
+                std::optional<std::uint64_t>& aLast) -> EventSelection;
+
 } // namespace mangovalve
--- a/mangovalve/online/event_stream_test.cc
+++ b/mangovalve/online/event_stream_test.cc
@@ -94,5 +94,29 @@
   CHECK(OrderOf({ ": comment\n\n", std::nullopt }, 5) == EventOrder::Next);
 }
 
+TEST_CASE("the events before a gap are selected, those after it are not")
+{
+  // Guards against events that are dropped because they were read together with
+  // a spoiled one, although the stream is resumed after them.
+  std::optional<std::uint64_t> last = 2;
+  const StreamEvent spoiled{ "#!: 5\ndata: e\n\n", std::nullopt };
+  const auto selection = SelectNext({ { "b", 2 },
+                                      { "c", 3 },
+                                      { ": comment\n\n", std::nullopt },
+                                      { "d", 4 },
+                                      spoiled,
+                                      { "f", 6 } },
+                                    last);
+  CHECK(selection.mGap);
+  CHECK(last == 4);
+  REQUIRE(selection.mNext.size() == 3);
+  CHECK(selection.mNext.front().mText == "c");
+  CHECK(selection.mNext.back().mText == "d");
+  const auto rest = SelectNext({ { "e", 5 }, { "f", 6 } }, last);
+  CHECK_FALSE(rest.mGap);
+  CHECK(rest.mNext.size() == 2);
+  CHECK(last == 6);
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -158,7 +158,8 @@
   auto DeliverStream(Endpoint& aEndpoint,
                      ClientConnection& aConnection,
                      ResponseParser& aParser) -> Task<StepResult>;
-  auto ForwardEvents(const std::vector<StreamEvent>& aEvents,
+  // Sends the events that follow those sent before; Failed at a gap.
+  auto ForwardEvents(std::vector<StreamEvent> aEvents,
                      const ResponseParser& aParser) -> Task<StepResult>;
   auto SendToCaller(std::string aBytes, const ResponseParser& aParser)
     -> Task<bool>;
@@ -680,17 +681,13 @@
       NoteFailure(aEndpoint, absl::StrCat("stream: ", bytes.error().message()));
       co_return StepResult::Failed;
     }
-    const auto events = SplitEvents(splitter, *bytes);
+    auto events = SplitEvents(splitter, *bytes);
     if (!mContext.mAnswerBegun &&
         std::any_of(events.begin(), events.end(), IsProgress)) {
       NoteAnswerBegun();
     }
-    if (IsOverlong(splitter)) {
-      NoteFailure(aEndpoint, "stream: event exceeds the size limit");
-      co_return StepResult::Failed;
-    }
     const auto before = mContext.mForwardedEvents;
-    const auto step = co_await ForwardEvents(events, aParser);
+    const auto step = co_await ForwardEvents(std::move(events), aParser);
     if (mContext.mForwardedEvents > before) {
       progressBy = GapDeadline();
     }
@@ -700,6 +697,10 @@
     if (step != StepResult::Done || mContext.mCaller->Disconnected()) {
       co_return step;
     }
+    if (IsOverlong(splitter)) {
+      NoteFailure(aEndpoint, "stream: event exceeds the size limit");
+      co_return StepResult::Failed;
+    }
   }
   // Without a length and chunks, the end of a stream that has no event can't be
   // told from the end of its endpoint.
@@ -722,26 +723,21 @@
   co_return StepResult::Done;
 }
 
-auto RelayedRequest::ForwardEvents(const std::vector<StreamEvent>& aEvents,
+auto RelayedRequest::ForwardEvents(std::vector<StreamEvent> aEvents,
                                    const ResponseParser& aParser)
   -> Task<StepResult>
 {
+  // The events before a gap count as delivered, so they have to be sent.
+  const auto selection = SelectNext(std::move(aEvents), mContext.mLastEvent);
   std::string bytes;
-  for (const auto& event : aEvents) {
-    const auto order = OrderOf(event, mContext.mLastEvent);
-    if (order == EventOrder::Gap) {
-      co_return StepResult::Failed;
-    }
-    if (order == EventOrder::Next) {
-      bytes += event.mText;
-      mContext.mForwardedEvents += IsProgress(event) ? 1 : 0;
-      mContext.mLastEvent = event.mId ? event.mId : mContext.mLastEvent;
-    }
+  for (const auto& event : selection.mNext) {
+    bytes += event.mText;
+    mContext.mForwardedEvents += IsProgress(event) ? 1 : 0;
   }
   if (!bytes.empty()) {
     co_await SendToCaller(std::move(bytes), aParser);
   }
-  co_return StepResult::Done;
+  co_return selection.mGap ? StepResult::Failed : StepResult::Done;
 }
 
 auto RelayedRequest::SendToCaller(std::string aBytes,
