Split the records of large jobs; refuse a job that the store rejects

Cause: the job record held the ids, paths and headers of all items, so it could exceed the largest record of the store. The store refused the append, the client of the store took every refusal for a passing one, and the partition repeated the append without end, with all later records behind it.

Change: - The items get records of their own if the job record would exceed the limit, as bodies and outputs do. The job record is still written last and makes the others valid. Records of jobs that fit are as before. - An append that the store refuses with a status of the client's fault is Rejected. The changes of a rejected batch are appended one by one; a job that is rejected by itself is refused with 503, which is true, and what it had stored is removed. Any other rejected change makes the partition load again, since its table would differ from the store. - An append never exceeds half of the largest call, also where that is less than 512 KiB; a change of several records used to ignore the limit. - Removing a job also removes the bodies of items that have no result.

--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -18,7 +18,7 @@
 
 // Bytes of records in one append. A larger append blocks the partition and all
 // appends queued behind it for too long.
-constexpr std::size_t kBytesPerAppend = 512UL << 10U;
+constexpr std::size_t kMaxBytesPerAppend = 512UL << 10U;
 
 // The low bits of a token hold the start of the process in units of 100 ms.
 // Tokens then stay below 2^53, the largest integer that JSON numbers hold
@@ -127,8 +127,8 @@
 {
   const std::vector<KeyedRecord> none;
   for (auto attempt = 0; attempt < kFenceAttempts && !mStopped; ++attempt) {
-    const auto set = co_await AppendUntilDurable(none);
-    if (set) {
+    const auto set = co_await AppendUntilDecided(none);
+    if (set == AppendResult::Durable) {
       co_return true;
     }
     // If the clock was set back, the previous process may have a later start
@@ -180,8 +180,8 @@
   co_return true;
 }
 
-auto JobPartition::AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
-  -> Task<bool>
+auto JobPartition::AppendUntilDecided(const std::vector<KeyedRecord>& aRecords)
+  -> Task<AppendResult>
 {
   const auto sequence = mSequence;
   while (!mStopped || !aRecords.empty()) {
@@ -196,96 +196,163 @@
     const auto kind =
       result ? TableErrorKind::NotApplied : result.error().mKind;
     SetStoreReachable(result || kind == TableErrorKind::Fenced ||
-                      kind == TableErrorKind::Sequence);
+                      kind == TableErrorKind::Sequence ||
+                      kind == TableErrorKind::Rejected);
     if (result) {
       mSequence = sequence + 1;
-      co_return true;
+      co_return AppendResult::Durable;
+    }
+    if (kind == TableErrorKind::Rejected) {
+      co_return AppendResult::Rejected;
     }
     if (kind == TableErrorKind::Fenced) {
       LogEvent(Severity::Warn,
                "partition_fenced",
                { { "partition", absl::StrCat(mPartition) },
                  { "generation", absl::StrCat(mGeneration) } });
-      co_return false;
+      co_return AppendResult::Stopped;
     }
     if (kind == TableErrorKind::Sequence) {
       // The append was stored by an earlier attempt if the store expects the
       // next number. Any other number means that the state here does not match
       // the store.
       mSequence = sequence + 1;
-      co_return result.error().mExpected == sequence + 1;
+      co_return result.error().mExpected == sequence + 1
+        ? AppendResult::Durable
+        : AppendResult::Stopped;
     }
     if (mStopped) {
-      co_return false;
+      co_return AppendResult::Stopped;
     }
     co_await SleepUntil(Clock::now() + kRetryDelay);
   }
-  co_return false;
+  co_return AppendResult::Stopped;
 }
 
-auto JobPartition::DequeueBatch(std::vector<PendingAppend>& aAppends)
-  -> std::vector<KeyedRecord>
+auto JobPartition::BytesPerAppend() const -> std::size_t
 {
-  std::vector<KeyedRecord> records;
+  return std::min(kMaxBytesPerAppend, mTables.mMaxCallBytes / 2);
+}
+
+auto JobPartition::DequeueBatch() -> std::vector<PendingAppend>
+{
+  std::vector<PendingAppend> appends;
   std::size_t bytes = 0;
-  const auto limit = std::min(kBytesPerAppend, mTables.mMaxCallBytes / 2);
-  while (!mQueue.empty() && (records.empty() || bytes < limit)) {
-    auto& write = mQueue.front();
-    bytes += BytesOf(write.mRecords);
-    if (!records.empty() && bytes >= limit) {
+  while (!mQueue.empty()) {
+    auto& next = mQueue.front();
+    bytes += BytesOf(next.mRecords);
+    if (!appends.empty() && bytes >= BytesPerAppend()) {
       break;
     }
-    std::move(write.mRecords.begin(),
-              write.mRecords.end(),
-              std::back_inserter(records));
-    aAppends.push_back(std::move(write));
+    if (!next.mChange->mRejected) {
+      appends.push_back(std::move(next));
+    }
     mQueue.pop_front();
   }
-  return records;
+  return appends;
+}
+
+auto JobPartition::AppendBatch(std::vector<PendingAppend> aAppends)
+  -> Task<bool>
+{
+  std::vector<KeyedRecord> records;
+  for (const auto& append : aAppends) {
+    records.insert(
+      records.end(), append.mRecords.begin(), append.mRecords.end());
+  }
+  const auto result = co_await AppendUntilDecided(records);
+  if (result == AppendResult::Stopped) {
+    co_return false;
+  }
+  if (result == AppendResult::Durable) {
+    for (const auto& append : aAppends) {
+      if (append.mLast) {
+        append.mChange->mOnDurable();
+      }
+    }
+    co_return true;
+  }
+  if (aAppends.size() == 1) {
+    co_return HandleRejection(*aAppends.front().mChange);
+  }
+  for (auto& append : aAppends) {
+    if (append.mChange->mRejected) {
+      continue;
+    }
+    std::vector<PendingAppend> single;
+    single.push_back(std::move(append));
+    const auto decided = co_await AppendBatch(std::move(single));
+    if (!decided) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+auto JobPartition::HandleRejection(Change& aChange) -> bool
+{
+  aChange.mRejected = true;
+  LogEvent(Severity::Error,
+           "change_rejected",
+           { { "partition", absl::StrCat(mPartition) },
+             { "stops", aChange.mOnRejected ? "false" : "true" } });
+  if (!aChange.mOnRejected) {
+    return false;
+  }
+  aChange.mOnRejected();
+  return true;
 }
 
 auto JobPartition::AppendQueued() -> Task<>
 {
   while (!mStopped) {
-    if (mQueue.empty()) {
+    auto appends = DequeueBatch();
+    if (appends.empty()) {
       co_await mQueued.WaitUntil(TimePoint::max());
       continue;
     }
-    std::vector<PendingAppend> appends;
-    const auto records = DequeueBatch(appends);
     mAppending = true;
-    const auto appended = co_await AppendUntilDurable(records);
+    const auto decided = co_await AppendBatch(std::move(appends));
     mAppending = false;
-    if (!appended) {
+    if (!decided) {
       co_return;
     }
-    for (const auto& write : appends) {
-      write.mOnDurable();
-    }
     NotifyWaiters();
   }
 }
 
 auto JobPartition::Enqueue(std::vector<KeyedRecord> aRecords,
-                           std::function<void()> aOnDurable) -> void
+                           std::function<void()> aOnDurable,
+                           std::function<void()> aOnRejected) -> void
 {
-  // Records of more than kBytesPerAppend are split into several appends. The
-  // last record makes the others valid, so a partial write has no effect.
+  const auto change = std::make_shared<Change>(
+    Change{ std::move(aOnDurable), std::move(aOnRejected) });
   std::vector<KeyedRecord> part;
   std::size_t bytes = 0;
   for (auto& record : aRecords) {
     const auto size = record.mKey.size() + record.mValue.size();
-    if (!part.empty() && bytes + size > kBytesPerAppend) {
-      mQueue.push_back({ std::exchange(part, {}), [] {} });
+    if (!part.empty() && bytes + size > BytesPerAppend()) {
+      mQueue.push_back({ std::exchange(part, {}), change });
       bytes = 0;
     }
     bytes += size;
     part.push_back(std::move(record));
   }
-  mQueue.push_back({ std::move(part), std::move(aOnDurable) });
+  mQueue.push_back({ std::move(part), change, true });
   mQueued.Notify();
 }
 
+auto JobPartition::EnqueueJob(SubmittedJobPtr aJob) -> void
+{
+  Enqueue(
+    JobRecords(*aJob, mTables.mMaxRecordBytes),
+    [aJob] { aJob->mDurable = true; },
+    [this, aJob] {
+      aJob->mRejected = true;
+      RemoveJob(aJob);
+    });
+}
+
 auto JobPartition::NotifyWaiters() -> void
 {
   for (auto* waiter : mWaiters) {
@@ -293,17 +360,16 @@
   }
 }
 
-auto JobPartition::WaitUntilDurable(std::shared_ptr<bool> aDurable,
-                                    TimePoint aDeadline) -> Task<bool>
+auto JobPartition::WaitUntil(std::function<auto()->bool> aDone,
+                             TimePoint aUntil) -> Task<>
 {
   const auto keepAlive = shared_from_this();
   Wakeup wakeup(mLoop);
   mWaiters.push_back(&wakeup);
-  while (!*aDurable && !mStopped && Clock::now() < aDeadline) {
-    co_await wakeup.WaitUntil(aDeadline);
+  while (!aDone() && !mStopped && Clock::now() < aUntil) {
+    co_await wakeup.WaitUntil(aUntil);
   }
   std::erase(mWaiters, &wakeup);
-  co_return *aDurable;
 }
 
 auto JobPartition::Submit(SubmittedJobPtr aJob,
@@ -324,12 +390,16 @@
     }
     job = std::move(aJob);
     mTable.mJobs[{ job->mTeam, job->mId }] = job;
-    Enqueue(JobRecords(*job, mTables.mMaxRecordBytes),
-            [job] { job->mDurable = true; });
+    EnqueueJob(job);
+  }
+  std::function<auto()->bool> decided = [job] {
+    return job->mDurable || job->mRejected;
+  };
+  co_await WaitUntil(std::move(decided), aDeadline);
+  if (job->mRejected) {
+    co_return JobOutcome::NotApplied;
   }
-  const std::shared_ptr<bool> durable(job, &job->mDurable);
-  const auto done = co_await WaitUntilDurable(durable, aDeadline);
-  co_return done ? JobOutcome::Done : JobOutcome::Unknown;
+  co_return job->mDurable ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
 auto JobPartition::EndJob(SubmittedJobPtr aJob, TimePoint aDeadline)
@@ -337,10 +407,10 @@
 {
   aJob->mEnded = true;
   const auto durable = std::make_shared<bool>(false);
-  Enqueue({ JobRecord(*aJob, mTables.mMaxRecordBytes) },
-          [durable] { *durable = true; });
-  const auto done = co_await WaitUntilDurable(durable, aDeadline);
-  co_return done ? JobOutcome::Done : JobOutcome::Unknown;
+  Enqueue({ JobRecord(*aJob) }, [durable] { *durable = true; });
+  std::function<auto()->bool> done = [durable] { return *durable; };
+  co_await WaitUntil(std::move(done), aDeadline);
+  co_return *durable ? JobOutcome::Done : JobOutcome::Unknown;
 }
 
 auto JobPartition::Finish(SubmittedJobPtr aJob,
@@ -380,14 +450,10 @@
                                  std::uint32_t aPosition,
                                  TimePoint aUntil) -> Task<>
 {
-  const auto keepAlive = shared_from_this();
-  Wakeup wakeup(mLoop);
-  mWaiters.push_back(&wakeup);
-  while (aJob->mResults.size() <= aPosition && !IsComplete(*aJob) &&
-         !mStopped && Clock::now() < aUntil) {
-    co_await wakeup.WaitUntil(aUntil);
-  }
-  std::erase(mWaiters, &wakeup);
+  std::function<auto()->bool> done = [aJob, aPosition] {
+    return aJob->mResults.size() > aPosition || IsComplete(*aJob);
+  };
+  co_await WaitUntil(std::move(done), aUntil);
 }
 
 } // namespace mangovalve
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -8,6 +8,8 @@
 //
 // While the store is unavailable, pending appends are retried with the same
 // sequence number, and new jobs are refused without an attempt to append them.
+// A job whose records the store rejects is refused, so that it does not hold up
+// the records behind it.
 #pragma once
 
 #include <deque>
@@ -58,7 +60,8 @@
 
   // Accepts a job; a job with a known team and id is not added again. aLimit:
   // tokens that the team may have queued on the route, 0 for no limit; aQueued:
-  // tokens that it has queued. Unknown if the job is not durable by aDeadline.
+  // tokens that it has queued. Unknown if the job is not durable by aDeadline,
+  // NotApplied if the store is known to be unavailable or rejects the job.
   auto Submit(SubmittedJobPtr aJob,
               std::uint64_t aQueued,
               std::uint64_t aLimit,
@@ -85,11 +88,27 @@
                      TimePoint aUntil) -> Task<>;
 
 private:
-  // Records that become durable together, and the callback for that moment.
+  // A change of the table and what follows from its fate. Its records may need
+  // several appends, of which the last one makes the others valid.
+  struct Change
+  {
+    std::function<void()> mOnDurable;
+    // Empty: the table here would differ from the store, so the partition
+    // stops and is loaded again.
+    std::function<void()> mOnRejected;
+    bool mRejected = false; // by the store; the remaining appends are left out
+  };
   struct PendingAppend
   {
     std::vector<KeyedRecord> mRecords;
-    std::function<void()> mOnDurable;
+    std::shared_ptr<Change> mChange;
+    bool mLast = false; // of its change
+  };
+  enum class AppendResult
+  {
+    Durable,
+    Rejected,
+    Stopped, // this owner is stopped or fenced
   };
 
   auto Open() -> Task<bool>;
@@ -97,16 +116,24 @@
   auto ImportProgress() -> Task<>;
   auto LoadPages() -> Task<bool>;
   auto AppendQueued() -> Task<>;
-  auto AppendUntilDurable(const std::vector<KeyedRecord>& aRecords)
-    -> Task<bool>;
-  auto DequeueBatch(std::vector<PendingAppend>& aAppends)
-    -> std::vector<KeyedRecord>;
+  // Repeats the append until the store has decided on it.
+  auto AppendUntilDecided(const std::vector<KeyedRecord>& aRecords)
+    -> Task<AppendResult>;
+  // Appends several changes at once, or each one by itself if the store rejects
+  // one of them; false if this owner must stop.
+  auto AppendBatch(std::vector<PendingAppend> aAppends) -> Task<bool>;
+  auto HandleRejection(Change& aChange) -> bool;
+  auto DequeueBatch() -> std::vector<PendingAppend>;
+  // Bytes of records in one append.
+  auto BytesPerAppend() const -> std::size_t;
   auto Enqueue(std::vector<KeyedRecord> aRecords,
-               std::function<void()> aOnDurable) -> void;
+               std::function<void()> aOnDurable,
+               std::function<void()> aOnRejected = nullptr) -> void;
+  auto EnqueueJob(SubmittedJobPtr aJob) -> void;
   auto SetStoreReachable(bool aReachable) -> void;
   auto NotifyWaiters() -> void;
-  auto WaitUntilDurable(std::shared_ptr<bool> aDurable, TimePoint aDeadline)
-    -> Task<bool>;
+  // Waits until aDone holds, this owner is stopped or aUntil has passed.
+  auto WaitUntil(std::function<auto()->bool> aDone, TimePoint aUntil) -> Task<>;
 
   asio::io_context& mLoop;
   const TablePorts& mTables;
--- a/mangovalve/batch/job_records_generated.h
+++ b/mangovalve/batch/job_records_generated.h
@@ -344,6 +344,7 @@
   int64_t submitted_ms = 0;
   std::vector<std::unique_ptr<mangovalve::wire::JobItemT>> items{};
   bool ended = false;
+  uint32_t item_pieces = 0;
   JobT() = default;
   JobT(const JobT& o);
   JobT(JobT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -363,7 +364,8 @@
     VT_PATH = 10,
     VT_SUBMITTED_MS = 12,
     VT_ITEMS = 14,
-    VT_ENDED = 16
+    VT_ENDED = 16,
+    VT_ITEM_PIECES = 18
   };
   const flatbuffers::String* team() const
   {
@@ -389,6 +391,7 @@
       flatbuffers::Offset<mangovalve::wire::JobItem>>*>(VT_ITEMS);
   }
   bool ended() const { return GetField<uint8_t>(VT_ENDED, 0) != 0; }
+  uint32_t item_pieces() const { return GetField<uint32_t>(VT_ITEM_PIECES, 0); }
   bool Verify(flatbuffers::Verifier& verifier) const
   {
     return VerifyTableStart(verifier) &&
@@ -403,7 +406,9 @@
            VerifyField<int64_t>(verifier, VT_SUBMITTED_MS, 8) &&
            VerifyOffset(verifier, VT_ITEMS) && verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
-           VerifyField<uint8_t>(verifier, VT_ENDED, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_ENDED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ITEM_PIECES, 4) &&
+           verifier.EndTable();
   }
   JobT* UnPack(
     const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -450,6 +455,10 @@
   {
     fbb_.AddElement<uint8_t>(Job::VT_ENDED, static_cast<uint8_t>(ended), 0);
   }
+  void add_item_pieces(uint32_t item_pieces)
+  {
+    fbb_.AddElement<uint32_t>(Job::VT_ITEM_PIECES, item_pieces, 0);
+  }
   explicit JobBuilder(flatbuffers::FlatBufferBuilder& _fbb)
     : fbb_(_fbb)
   {
@@ -477,10 +486,12 @@
   flatbuffers::Offset<
     flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::JobItem>>> items =
     0,
-  bool ended = false)
+  bool ended = false,
+  uint32_t item_pieces = 0)
 {
   JobBuilder builder_(_fbb);
   builder_.add_submitted_ms(submitted_ms);
+  builder_.add_item_pieces(item_pieces);
   builder_.add_items(items);
   builder_.add_path(path);
   builder_.add_host(host);
@@ -505,7 +516,8 @@
   int64_t submitted_ms = 0,
   const std::vector<flatbuffers::Offset<mangovalve::wire::JobItem>>* items =
     nullptr,
-  bool ended = false)
+  bool ended = false,
+  uint32_t item_pieces = 0)
 {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto id__ = id ? _fbb.CreateString(id) : 0;
@@ -515,8 +527,15 @@
     items ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::JobItem>>(
               *items)
           : 0;
-  return mangovalve::wire::CreateJob(
-    _fbb, team__, id__, host__, path__, submitted_ms, items__, ended);
+  return mangovalve::wire::CreateJob(_fbb,
+                                     team__,
+                                     id__,
+                                     host__,
+                                     path__,
+                                     submitted_ms,
+                                     items__,
+                                     ended,
+                                     item_pieces);
 }
 
 flatbuffers::Offset<Job> CreateJob(
@@ -1579,6 +1598,7 @@
   , path(o.path)
   , submitted_ms(o.submitted_ms)
   , ended(o.ended)
+  , item_pieces(o.item_pieces)
 {
   items.reserve(o.items.size());
   for (const auto& items_ : o.items) {
@@ -1596,6 +1616,7 @@
   std::swap(submitted_ms, o.submitted_ms);
   std::swap(items, o.items);
   std::swap(ended, o.ended);
+  std::swap(item_pieces, o.item_pieces);
   return *this;
 }
 
@@ -1651,6 +1672,10 @@
     auto _e = ended();
     _o->ended = _e;
   }
+  {
+    auto _e = item_pieces();
+    _o->item_pieces = _e;
+  }
 }
 
 inline flatbuffers::Offset<Job> Job::Pack(
@@ -1691,8 +1716,16 @@
           &_va)
       : 0;
   auto _ended = _o->ended;
-  return mangovalve::wire::CreateJob(
-    _fbb, _team, _id, _host, _path, _submitted_ms, _items, _ended);
+  auto _item_pieces = _o->item_pieces;
+  return mangovalve::wire::CreateJob(_fbb,
+                                     _team,
+                                     _id,
+                                     _host,
+                                     _path,
+                                     _submitted_ms,
+                                     _items,
+                                     _ended,
+                                     _item_pieces);
 }
 
 inline ResultRecordT* ResultRecord::UnPack(
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -32,6 +32,11 @@
   return absl::StrFormat("b/%s/%u/%u", aJob, aItem, aPiece);
 }
 
+auto ItemsKey(const std::string& aJob, std::size_t aPiece) -> std::string
+{
+  return absl::StrFormat("i/%s/%u", aJob, aPiece);
+}
+
 auto ResultKey(const std::string& aJob,
                std::size_t aPosition,
                std::size_t aPiece) -> std::string
@@ -46,7 +51,21 @@
 
 using Records = std::map<std::string, const std::string*>;
 
-// Concatenates the pieces of a body or output; nullopt if one is missing.
+// Appends the records of aBytes, split into pieces of at most aPiece bytes, to
+// aRecords.
+template<typename KeyOf>
+auto AppendPieces(std::vector<KeyedRecord>& aRecords,
+                  std::string_view aBytes,
+                  std::size_t aPiece,
+                  KeyOf aKeyOf) -> void
+{
+  for (std::size_t at = 0; at < aBytes.size(); at += aPiece) {
+    aRecords.push_back(
+      { aKeyOf(at / aPiece), std::string(aBytes.substr(at, aPiece)), 0 });
+  }
+}
+
+// Concatenates pieces; nullopt if one is missing.
 template<typename KeyOf>
 auto Join(const Records& aRecords, std::uint32_t aPieces, KeyOf aKeyOf)
   -> std::optional<std::string>
@@ -107,6 +126,55 @@
   }
 }
 
+// The items of a job as they are stored, without bodies.
+auto StoredItems(const SubmittedJob& aJob)
+  -> std::vector<std::unique_ptr<wire::JobItemT>>
+{
+  std::vector<std::unique_ptr<wire::JobItemT>> items;
+  for (const auto& item : aJob.mItems) {
+    auto entry = std::make_unique<wire::JobItemT>();
+    entry->id = item.mSubmitted.id;
+    entry->path = item.mSubmitted.path;
+    for (const auto& header : item.mSubmitted.headers) {
+      entry->headers.push_back(std::make_unique<wire::HeaderFieldT>(*header));
+    }
+    entry->tokens = item.mSubmitted.tokens;
+    entry->body_pieces = item.mSubmitted.body_pieces;
+    items.push_back(std::move(entry));
+  }
+  return items;
+}
+
+// Reads a job record and the items that have records of their own; null if that
+// is not possible.
+auto LoadJob(const std::string& aValue, const Records& aRecords)
+  -> SubmittedJobPtr
+{
+  const auto* record = VerifiedTable<wire::Job>(aValue);
+  if (record == nullptr) {
+    return nullptr;
+  }
+  wire::JobT unpacked;
+  record->UnPackTo(&unpacked);
+  if (unpacked.item_pieces > 0) {
+    const auto key = JobKeyText(unpacked.team, unpacked.id);
+    const auto joined =
+      Join(aRecords, unpacked.item_pieces, [&](std::uint32_t aPiece) {
+        return ItemsKey(key, aPiece);
+      });
+    auto items = joined ? UnpackTable<wire::Job>(*joined) : std::nullopt;
+    if (!items) {
+      return nullptr;
+    }
+    unpacked.items = std::move(items->items);
+  }
+  const auto pieces = unpacked.item_pieces;
+  auto job = MakeJob(std::move(unpacked));
+  job->mItemPieces = pieces;
+  job->mDurable = true;
+  return job;
+}
+
 // Visits the unfinished items of durable jobs that have not been ended.
 template<typename Visit>
 auto ForEachOpenItem(const JobTable& aTable, const Visit& aVisit) -> void
@@ -330,7 +398,7 @@
   return imported;
 }
 
-auto JobRecord(const SubmittedJob& aJob, std::size_t aMaxRecord) -> KeyedRecord
+auto JobRecord(const SubmittedJob& aJob) -> KeyedRecord
 {
   wire::JobT record;
   record.team = aJob.mTeam;
@@ -339,42 +407,39 @@
   record.path = aJob.mPath;
   record.submitted_ms = aJob.mSubmittedAt.time_since_epoch().count();
   record.ended = aJob.mEnded;
-  for (const auto& item : aJob.mItems) {
-    auto entry = std::make_unique<wire::JobItemT>();
-    entry->id = item.mSubmitted.id;
-    entry->path = item.mSubmitted.path;
-    for (const auto& header : item.mSubmitted.headers) {
-      entry->headers.push_back(std::make_unique<wire::HeaderFieldT>(*header));
-    }
-    entry->tokens = item.mSubmitted.tokens;
-    entry->body_pieces = std::max(
-      item.mSubmitted.body_pieces,
-      Pieces(item.mSubmitted.body.size(), aMaxRecord - kRecordOverhead));
-    record.items.push_back(std::move(entry));
+  record.item_pieces = aJob.mItemPieces;
+  if (aJob.mItemPieces == 0) {
+    record.items = StoredItems(aJob);
   }
   return { absl::StrCat("j/", JobKeyText(aJob)),
            PackTable<wire::Job>(record),
            0 };
 }
 
-auto JobRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
+auto JobRecords(SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>
 {
   const auto piece = aMaxRecord - kRecordOverhead;
   const auto key = JobKeyText(aJob);
   std::vector<KeyedRecord> records;
   for (std::size_t i = 0; i < aJob.mItems.size(); ++i) {
-    const auto& body = aJob.mItems[i].mSubmitted.body;
-    for (std::size_t at = 0; at < body.size(); at += piece) {
-      const auto size = std::min(piece, body.size() - at);
-      const auto begin = body.begin() + static_cast<std::ptrdiff_t>(at);
-      records.push_back(
-        { BodyKey(key, i, at / piece),
-          std::string(begin, begin + static_cast<std::ptrdiff_t>(size)),
-          0 });
-    }
+    auto& item = aJob.mItems[i].mSubmitted;
+    item.body_pieces = Pieces(item.body.size(), piece);
+    const std::string body(item.body.begin(), item.body.end());
+    AppendPieces(records, body, piece, [&](std::size_t aPiece) {
+      return BodyKey(key, i, aPiece);
+    });
+  }
+  aJob.mItemPieces = 0;
+  auto record = JobRecord(aJob);
+  if (record.mValue.size() > piece) {
+    aJob.mItemPieces = Pieces(record.mValue.size(), piece);
+    AppendPieces(records, record.mValue, piece, [&](std::size_t aPiece) {
+      return ItemsKey(key, aPiece);
+    });
+    record = JobRecord(aJob);
   }
-  records.push_back(JobRecord(aJob, aMaxRecord));
+  records.push_back(std::move(record));
   return records;
 }
 
@@ -402,9 +467,7 @@
   records.push_back(
     { ResultKey(key, aPosition, 0), PackTable<wire::ResultRecord>(record), 0 });
   const auto& item = aJob.mItems[aResult.mItem].mSubmitted;
-  const auto bodies =
-    std::max(item.body_pieces, Pieces(item.body.size(), piece));
-  for (std::uint32_t i = 0; i < bodies; ++i) {
+  for (std::uint32_t i = 0; i < item.body_pieces; ++i) {
     records.push_back({ BodyKey(key, aResult.mItem, i), "", 0 });
   }
   return records;
@@ -413,7 +476,17 @@
 auto TombstoneRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>
 {
-  std::vector<KeyedRecord> records{ JobRecord(aJob, aMaxRecord) };
+  const auto key = JobKeyText(aJob);
+  std::vector<KeyedRecord> records{ JobRecord(aJob) };
+  for (std::uint32_t i = 0; i < aJob.mItemPieces; ++i) {
+    records.push_back({ ItemsKey(key, i), "", 0 });
+  }
+  for (std::size_t i = 0; i < aJob.mItems.size(); ++i) {
+    const auto& item = aJob.mItems[i];
+    for (auto n = 0U; !item.mFinished && n < item.mSubmitted.body_pieces; ++n) {
+      records.push_back({ BodyKey(key, i, n), "", 0 });
+    }
+  }
   for (std::uint32_t i = 0; i < aJob.mResults.size(); ++i) {
     for (auto& record : ResultRecords(aJob, i, aJob.mResults[i], aMaxRecord)) {
       records.push_back(std::move(record));
@@ -438,15 +511,11 @@
     if (!key.starts_with("j/")) {
       continue;
     }
-    const auto* record = VerifiedTable<wire::Job>(*value);
-    if (record == nullptr) {
+    const auto job = LoadJob(*value, records);
+    if (!job) {
       LogEvent(Severity::Error, "job_record_unreadable", { { "key", key } });
       continue;
     }
-    wire::JobT unpacked;
-    record->UnPackTo(&unpacked);
-    auto job = MakeJob(std::move(unpacked));
-    job->mDurable = true;
     LoadBodies(*job, records);
     LoadResults(*job, records);
     table.mJobs[{ job->mTeam, job->mId }] = job;
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -48,11 +48,15 @@
   std::string mHost;
   std::string mPath;
   WallTime mSubmittedAt{};
-  bool mDurable = false; // in the store; no item runs before that
-  bool mEnded = false;   // ended by its caller
+  bool mDurable = false;  // in the store; no item runs before that
+  bool mRejected = false; // by the store; it never runs
+  bool mEnded = false;    // ended by its caller
   std::vector<BatchItem> mItems;
   std::vector<BatchResult> mResults; // durable, in order of position
   std::uint32_t mNextPosition = 0;   // of the next result to be stored
+  // Records that hold the items; 0 if they are in the job record. Set with the
+  // records of the job, as are the pieces of the bodies.
+  std::uint32_t mItemPieces = 0;
 };
 
 using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
@@ -148,13 +152,14 @@
 
 // Encoding of jobs as records of the store.
 
-// The records of a job: its bodies, then the job record. Without the job
-// record, which is written last, the bodies are ignored.
-auto JobRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
+// The records of a job: its bodies, its items if they need records of their
+// own, then the job record. Without the job record, which is written last, the
+// others are ignored. Notes in the job how it was split.
+auto JobRecords(SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>;
 
-// The job record, without bodies.
-auto JobRecord(const SubmittedJob& aJob, std::size_t aMaxRecord) -> KeyedRecord;
+// The job record of a job that was split by JobRecords() or loaded.
+auto JobRecord(const SubmittedJob& aJob) -> KeyedRecord;
 
 // The records of a result at a position, and tombstones (empty values) for the
 // item's body.
@@ -168,8 +173,8 @@
   -> std::vector<KeyedRecord>;
 
 // Rebuilds the table from the newest record of each key. Records without a job
-// record, left by an incomplete submission, are ignored. Unreadable records are
-// logged and skipped.
+// record, left by an incomplete submission, are ignored. Unreadable records and
+// jobs of which the items are missing are logged and skipped.
 auto LoadJobs(const std::vector<KeyedRecord>& aRecords) -> JobTable;
 
 } // namespace mangovalve
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -144,6 +144,69 @@
   CHECK(store.mValues.empty());
 }
 
+// A job of as many items as a submission may have, with long headers.
+auto LargeSubmission() -> SubmittedJobPtr
+{
+  constexpr std::size_t kItems = 200;
+  constexpr std::size_t kHeaderBytes = 1500;
+  const auto job = Submission("large", 3);
+  auto items = std::move(job->mItems);
+  job->mItems.clear();
+  for (std::size_t i = 0; i < kItems; ++i) {
+    BatchItem item;
+    item.mSubmitted = items[i % items.size()].mSubmitted;
+    item.mSubmitted.id = "large-" + std::to_string(i);
+    item.mSubmitted.headers[0]->value.assign(kHeaderBytes + i, 'h');
+    job->mItems.push_back(std::move(item));
+  }
+  return job;
+}
+
+TEST_CASE("no record of a large job exceeds the limit of the store")
+{
+  // Guards against a job that the store never takes. Newest checks the sizes.
+  Newest store;
+  const auto job = LargeSubmission();
+  store.Put(JobRecords(*job, kMaxRecord));
+  const auto loaded = FindJob(store.Load(), "team", "large");
+  REQUIRE(loaded);
+  REQUIRE(loaded->mItems.size() == job->mItems.size());
+  for (std::size_t i = 0; i < job->mItems.size(); ++i) {
+    const auto& item = loaded->mItems[i].mSubmitted;
+    const auto& submitted = job->mItems[i].mSubmitted;
+    CHECK(item.id == submitted.id);
+    CHECK(item.headers[0]->value == submitted.headers[0]->value);
+    CHECK(item.body == submitted.body);
+  }
+  // A result shortens what is left of the job, an end writes it again.
+  store.Put(ResultRecords(*loaded, 0, { 2, true, "x" }, kMaxRecord));
+  loaded->mItems[2].mSubmitted.body = {};
+  loaded->mEnded = true;
+  store.Put({ JobRecord(*loaded) });
+  const auto ended = FindJob(store.Load(), "team", "large");
+  REQUIRE(ended);
+  CHECK(ended->mEnded);
+  CHECK(ended->mItems.size() == job->mItems.size());
+  store.Put(TombstoneRecords(*ended, kMaxRecord));
+  CHECK(store.mValues.empty());
+}
+
+TEST_CASE("a large job of which a record is missing is not loaded")
+{
+  // Guards against items that are lost because a submission was incomplete.
+  Newest store;
+  const auto records = JobRecords(*LargeSubmission(), kMaxRecord);
+  for (std::size_t i = 0; i + 1 < records.size(); ++i) {
+    if (!records[i].mKey.starts_with("b/")) {
+      auto incomplete = records;
+      incomplete.erase(incomplete.begin() + static_cast<std::ptrdiff_t>(i));
+      Newest partial;
+      partial.Put(incomplete);
+      CHECK(partial.Load().mJobs.empty());
+    }
+  }
+}
+
 TEST_CASE("unreadable records do not affect other jobs")
 {
   Newest store;
--- a/mangovalve/serving/tables.h
+++ b/mangovalve/serving/tables.h
@@ -30,7 +30,8 @@
 
 enum class TableErrorKind
 {
-  NotApplied, // the call was refused or never sent
+  NotApplied, // the call was refused for now, or never sent
+  Rejected,   // the append is invalid and will be refused again
   Unknown,    // no response: the call may have been or may yet be executed
   Fenced,     // a writer with a higher token has written
   Sequence,   // not the next sequence number, which is mExpected
