Bear fields and trailers of any size from endpoints and callers

Cause: the library's fields throw std::length_error for a name or value above 65,533 bytes. Trailers have no bound of their own, and a document may allow callers heads above 64 KiB. The exception is thrown inside the loop, where no task can catch it, and nothing else did. The buffer of a caller's connection had no bound either, so a trailer without end filled the memory.

Change: - MessageParser reports an oversized field as header_limit (431 for callers) and discards trailers. The library added their fields to those of the head, after it had been examined. - The buffer of a caller's connection is bounded. - RunLoop() logs an exception that escapes from a task and goes on, since the requests of other callers must not end with it. It is the last defence, for throwing calls that nobody has found yet.

--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -13,6 +13,7 @@
 #include <absl/strings/str_format.h>
 #include <gflags/gflags.h>
 
+#include "mangovalve/loop/run_loop.h"
 #include "mangovalve/serving/daemon.h"
 #include "mangovalve/telemetry/event_log.h"
 #include "platform/document.h"
@@ -73,7 +74,7 @@
   }
   // Runs after the tasks of Start(), one of which installs the handlers.
   asio::post(loop, [] { MaskHandledSignals(SIG_UNBLOCK); });
-  loop.run();
+  RunLoop(loop);
   // Connections and tasks end with the process; nothing of them must be kept.
   std::fflush(stdout);
   std::_Exit(EXIT_SUCCESS);
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -15,6 +15,7 @@
 #include "mangovalve/base/result.h"
 #include "mangovalve/base/time.h"
 #include "mangovalve/loop/asio.h"
+#include "mangovalve/loop/message_parser.h"
 
 namespace mangovalve {
 
@@ -89,8 +90,6 @@
   absl::flat_hash_map<std::string, std::deque<ClientConnectionPtr>> mIdle;
 };
 
-using ResponseParser = http::response_parser<http::string_body>;
-
 // Sends a complete request.
 auto SendRequest(ClientConnection& aConnection,
                  const Request& aRequest,
--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -68,6 +68,59 @@
   }
 }
 
+TEST_CASE("a long line after the last chunk does not end the process")
+{
+  // Guards against a trailer that the parser can't hold: it throws, and nothing
+  // on the loop catches that.
+  for (const auto* line : { "X-Trailer: ", "X-Trailer", ":", "" }) {
+    CAPTURE(line);
+    asio::io_context loop;
+    RawServer server(
+      loop,
+      [line](
+        RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+        co_await aServer.Send(aSocket,
+                              "HTTP/1.1 200 OK\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nok\r\n0\r\n" +
+                                std::string(line) + std::string(70000, 'x') +
+                                "\r\n\r\n");
+      });
+    const auto address = FreeAddress();
+    REQUIRE_FALSE(server.Listen(address));
+    ConnectionPool pool(loop);
+    const auto response = Call(loop, pool, address, seconds(20));
+    if (response) {
+      CHECK(response->body() == "ok");
+    }
+  }
+}
+
+TEST_CASE("fields after the last chunk are not taken for headers")
+{
+  // Guards against an answer that changes its signature or status of execution
+  // after the head has been examined.
+  asio::io_context loop;
+  RawServer server(
+    loop,
+    [](RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+      co_await aServer.Send(aSocket,
+                            "HTTP/1.1 200 OK\r\nX-Signature: a\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nok\r\n0\r\nX-Signature: b\r\n"
+                            "X-Other: c\r\n\r\n");
+    });
+  const auto address = FreeAddress();
+  REQUIRE_FALSE(server.Listen(address));
+  ConnectionPool pool(loop);
+  const auto response = Call(loop, pool, address, seconds(20));
+  REQUIRE(response);
+  CHECK(response->body() == "ok");
+  CHECK(response->count("X-Signature") == 1);
+  CHECK((*response)["X-Signature"] == "a");
+  CHECK(response->count("X-Other") == 0);
+}
+
 // Bytes of a response: a beginning, then a part that is repeated without end.
 struct Flood
 {
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -230,7 +230,9 @@
     caller.mBuffer.commit(count);
   }
   caller.mPhase = ConnectionPhase::Reading;
-  http::request_parser<http::string_body> parser;
+  // Bounds what the parser's own limits leave open, such as trailers.
+  caller.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxBufferBytes);
+  RequestParser parser;
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
   stream.expires_at(Clock::now() + limits.mHeaderTimeout);
--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -29,7 +29,8 @@
                              response.body() = "answer";
                              co_await aCaller->Reply(std::move(response));
                            },
-                           [] { return CallerLimits{}; } };
+                           [this] { return mLimits; } };
+  CallerLimits mLimits;
 
   ServerUnderTest() { REQUIRE_FALSE(mServer.Listen(mAddress)); }
 
@@ -78,6 +79,71 @@
          aText.find("Connection: close") != std::string::npos;
 }
 
+// Sends a request on a connection of its own and returns what comes back.
+auto Exchange(ServerUnderTest& aServer, const std::string& aRequest)
+  -> std::string
+{
+  auto socket = aServer.Connect();
+  ErrorCode error; // a server that has read enough may close first
+  asio::write(socket, asio::buffer(aRequest), error);
+  socket.shutdown(Tcp::socket::shutdown_send, error);
+  return aServer.ReadAll(socket);
+}
+
+TEST_CASE("a request with a field that the parser can't hold is refused")
+{
+  // Guards against a caller that ends the process, and with it the requests of
+  // all others: the parser throws for such a field, and nothing on the loop
+  // catches that.
+  const std::string field(70000, 'x');
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nok\r\n0\r\n";
+  ServerUnderTest server;
+  server.mLimits.mMaxHeaderBytes = 1U << 20U;
+  const std::vector<std::string> requests = {
+    "GET / HTTP/1.1\r\nHost: h\r\nX: " + field + "\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: h\r\n" + field + ": x\r\n\r\n",
+    chunked + "X: " + field + "\r\n\r\n",
+    chunked + field + ": x\r\n\r\n",
+    chunked + field + "\r\n\r\n",
+  };
+  for (const auto& request : requests) {
+    CAPTURE(request.substr(0, 100));
+    Exchange(server, request);
+    CHECK(Exchange(server, kRequest).starts_with("HTTP/1.1 200"));
+  }
+}
+
+TEST_CASE("a trailer without end is refused")
+{
+  // Guards against a caller that fills the memory of the host.
+  ServerUnderTest server;
+  constexpr std::size_t kSent = 8UL << 20U;
+  auto socket = server.Connect();
+  std::size_t sent = 0;
+  asio::co_spawn(
+    server.mLoop,
+    [](Tcp::socket& aSocket, std::size_t& aSent) -> Task<> {
+      std::string begin = "POST / HTTP/1.1\r\nHost: h\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ";
+      const std::string part(64UL << 10U, 'x');
+      ErrorCode error;
+      co_await asio::async_write(
+        aSocket, asio::buffer(begin), CaptureError(error));
+      while (!error && aSent < kSent) {
+        aSent += co_await asio::async_write(
+          aSocket, asio::buffer(part), CaptureError(error));
+      }
+    }(socket, sent),
+    asio::detached);
+  const auto deadline = Clock::now() + seconds(5);
+  while (sent < kSent && Clock::now() < deadline) {
+    server.mLoop.run_for(milliseconds(5));
+  }
+  CHECK(sent < kSent);
+}
+
 TEST_CASE("a stop answers a request whose connection is not accepted yet")
 {
   ServerUnderTest server;
