Do not pass on an endpoint's status that promises "not run" without saying so

What callers saw (REFUSED, with real processes): a request that had been refused with a promise had run.

Cause: where a request may not be repeated, and after the last attempt, the relay passed an endpoint's 503, 429 or 408 on as it was, also without the header that states that the request has not run. Only that header states it; a faulty endpoint may have worked on the request. The caller takes the status for the promise and sends the request again.

Change: such an answer counts as a failure of the endpoint. The request is repeated where that is allowed, otherwise its caller gets 502 without a signature. 429 and 408 were never repeated before.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -620,7 +620,9 @@
     NoteFailure(aEndpoint, "success without a signature or id");
     co_return StepResult::Failed;
   }
-  if (status >= 500 && MayRetryAfterRun()) {
+  // Nothing but the endpoint's statement says that the request has not run, so
+  // the caller must not get a status that does.
+  if (aMetadata.mStatusPromises || (status >= 500 && MayRetryAfterRun())) {
     NoteFailure(aEndpoint, absl::StrCat("status ", status));
     co_return StepResult::Failed;
   }
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -58,6 +58,8 @@
   bool mSigned = false;        // the endpoint signed status and body
   bool mNotExecuted = false;   // the endpoint did not execute the request
   bool mWrongEndpoint = false; // the address now belongs to another endpoint
+  // The status, if a host sent it, would promise that the request has not run.
+  bool mStatusPromises = false;
   bool mIsEventStream = false;
   std::optional<ReportedLoad> mLoad;
   // Requests per second that the endpoint accepts from all hosts together;
