Tests: a loopback address of its own for each process

"a stop answers a request that is read at any byte" failed once in a parallel run of ctest: bind() found its address in use. The ports of a process began at 61 times its id, and this test takes more than 61, so it ran into those of the next process, which took one between the probe and the listen. Each process now has its own loopback IP, as the soak does.

--- a/standins/common/free_address.h
+++ b/standins/common/free_address.h
@@ -3,29 +3,34 @@
 
 #include <string>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <unistd.h>
 
 #include "mangovalve/loop/asio.h"
 
 namespace mangovalve::standin {
 
-// "127.0.0.1:PORT" with a port that was free a moment ago. The ports are below
-// those that the system gives to outgoing connections, and each process begins
-// at another one, so that nothing else takes a port before it is used.
+// An address "IP:PORT" that no other process takes: each process has an IP of
+// its own, and the ports are below those that the system gives to outgoing
+// connections.
 inline auto FreeAddress() -> std::string
 {
+  constexpr int kRange = 250;
   constexpr unsigned kFirstPort = 12000;
   constexpr unsigned kPorts = 20000;
-  constexpr unsigned kPortsPerProcess = 61; // coprime to kPorts
-  static auto next = static_cast<unsigned>(getpid()) * kPortsPerProcess;
+  static const auto pid = static_cast<int>(getpid());
+  static const auto ip = absl::StrFormat(
+    "127.%d.%d.254", 1 + (pid / kRange) % kRange, 1 + pid % kRange);
+  static auto next = 0U;
   asio::io_context loop;
   for (;;) {
     const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
     Tcp::acceptor acceptor(loop, Tcp::v4());
     ErrorCode error;
-    acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, error);
+    acceptor.bind({ asio::ip::make_address(ip), port }, error);
     if (!error) {
-      return "127.0.0.1:" + std::to_string(port);
+      return absl::StrCat(ip, ":", port);
     }
   }
 }
