Refuse what a stopping host can't answer, also if its endpoint is silent

What callers saw (report of other operators, reproduced with real processes): in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated.

Cause: EndsBeforeExit() compared twice the longest recent request with the time until the exit, although requests are cut 100 ms before, so one that comes within these 100 ms was passed on with no time left. It took nothing into account for an endpoint that is silent for a second.

Change: the state holds the time at which all requests must have been answered and compares with that; the time needed includes a silence of 1.5 s.

Test: "a host that is stopping takes what ends before its exit". The bounds of its old checks (2 s left, 0.9 and 1.1 s needed) are those of the rule before; they are replaced by the same checks at 4 s, and by new ones for a short request 1.6 s before, which the old rule took.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -37,9 +37,6 @@
 constexpr auto kStartupTime = milliseconds(1000);
 constexpr auto kNoDocumentRetryAfter = milliseconds(1500);
 
-// A host that exits refuses the requests that still run this much before.
-constexpr auto kRefusalBeforeExit = milliseconds(100);
-
 // Largest answer that is not a stream of events. It is kept until it is
 // complete, so that a truncated answer never reaches the caller.
 constexpr std::size_t kMaxAnswerBytes = 4UL << 20U;
@@ -858,9 +855,8 @@
       ? *team->second.mPriority
       : context.mRoute->mPriority;
   context.mLastEvent = context.mMetadata.mResumeAfter;
-  if (mState.mExitBy) {
-    context.mDeadline =
-      std::min(context.mDeadline, *mState.mExitBy - kRefusalBeforeExit);
+  if (mState.mAnswerBy) {
+    context.mDeadline = std::min(context.mDeadline, *mState.mAnswerBy);
   }
   RelayedRequest relayed(mState, mProtocol, mPolicy, context);
   co_await relayed.Run();
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -59,6 +59,10 @@
 // about 10 ms, and several times that when the store is slow.
 constexpr auto kResultFlushTime = milliseconds(800);
 
+// Requests that still run this much before the exit are answered with a
+// failure, so that they do not end without an answer.
+constexpr auto kAnswerBeforeExit = milliseconds(100);
+
 auto PeerLimits() -> CallerLimits
 {
   CallerLimits limits;
@@ -250,8 +254,8 @@
   auto admission = CheckCall(mState.mDocument, metadata);
   const auto submission =
     !admission.mRefusal && admission.mRoute->mKind == RouteKind::Batch;
-  if ((call || submission) && mState.mExitBy &&
-      Clock::now() + mJobs.LongestCall() > *mState.mExitBy) {
+  if ((call || submission) && mState.mAnswerBy &&
+      Clock::now() + mJobs.LongestCall() > *mState.mAnswerBy) {
     LogEvent(Severity::Info,
              "request_refused",
              { { "id", metadata.mId }, { "reason", "stopping" } });
@@ -658,7 +662,7 @@
   const StopPolicy policy;
   const auto schedule = PlanStop(policy, started, mSettings.mTerminationGrace);
   mDraining = true;
-  mState.mExitBy = schedule.mExitBy;
+  mState.mAnswerBy = schedule.mExitBy - kAnswerBeforeExit;
   LogEvent(Severity::Info,
            "draining",
            { { "active", absl::StrCat(mCallers.ActiveRequests()) } });
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -40,6 +40,9 @@
 // longest recent one.
 constexpr double kLateRequestMargin = 2;
 
+// Time for which a sound endpoint may be silent.
+constexpr std::chrono::duration<double> kSoundSilence(1.5);
+
 auto UnaccountedLoad(const Endpoint& aEndpoint, TimePoint aNow) -> double
 {
   const std::chrono::duration<double> age = aNow - aEndpoint.mUnaccountedLoadAt;
@@ -293,14 +296,15 @@
                     TimePoint aDeadline,
                     TimePoint aNow) -> bool
 {
-  if (!aState.mExitBy || aDeadline <= *aState.mExitBy) {
+  if (!aState.mAnswerBy || aDeadline <= *aState.mAnswerBy) {
     return true;
   }
   const auto pool = aState.mPools.find(aService);
   const std::chrono::duration<double> longest(
     pool == aState.mPools.end() ? 0 : pool->second.mLongestSeconds);
-  return longest.count() > 0 &&
-         *aState.mExitBy - aNow >= kLateRequestMargin * longest;
+  const std::chrono::duration<double> needed =
+    std::max(kLateRequestMargin * longest, longest + kSoundSilence);
+  return longest.count() > 0 && *aState.mAnswerBy - aNow >= needed;
 }
 
 auto TriesQuarantine(const ServingState& aState, const PartSet& aSet) -> bool
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -128,15 +128,16 @@
   std::uint64_t mNextWaiter = 0;
   PlacementPolicy mPlacement;
   HealthPolicy mHealth;
-  // When this host exits; set once it is stopping.
-  std::optional<TimePoint> mExitBy;
+  // When all requests must have been answered; set once this host is stopping.
+  std::optional<TimePoint> mAnswerBy;
   CrashSuspects mSuspects;
   SuspectPolicy mSuspectPolicy;
   SuspectExchange mSuspectExchange; // of mSuspects
 };
 
-// Whether a request to the service would have ended before this host exits:
-// by its deadline, or judged by the longest recent requests.
+// Whether a request to the service would have been answered before this host
+// exits: by its deadline, or judged by the longest recent requests, also if its
+// endpoint falls silent for a while.
 auto EndsBeforeExit(const ServingState& aState,
                     const std::string& aService,
                     TimePoint aDeadline,
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -414,14 +414,21 @@
     return EndsBeforeExit(state, "llm", now + aTimeout, now);
   };
   CHECK(ends(milliseconds(60000)));
-  state.mExitBy = now + milliseconds(2000);
-  CHECK(ends(milliseconds(2000)));
-  CHECK_FALSE(ends(milliseconds(2001))); // nothing is known of the service
-  state.mPools["llm"].mLongestSeconds = 0.9;
+  state.mAnswerBy = now + milliseconds(4000);
+  CHECK(ends(milliseconds(4000)));
+  CHECK_FALSE(ends(milliseconds(4001))); // nothing is known of the service
+  auto& longest = state.mPools["llm"].mLongestSeconds;
+  longest = 1.9;
   CHECK(ends(milliseconds(5000)));
-  state.mPools["llm"].mLongestSeconds = 1.1;
+  longest = 2.1;
   CHECK_FALSE(ends(milliseconds(5000)));
-  state.mExitBy = now - milliseconds(1);
+  // Guards against a short request whose endpoint is silent for a second.
+  state.mAnswerBy = now + milliseconds(1600);
+  longest = 0.05;
+  CHECK(ends(milliseconds(5000)));
+  longest = 0.15;
+  CHECK_FALSE(ends(milliseconds(5000)));
+  state.mAnswerBy = now - milliseconds(1);
   CHECK_FALSE(ends(milliseconds(5000)));
 }
 
