Keep requests with a silent endpoint until another one can take them

Cause: silence of 0.6 s before the first byte, or of 0.8 s in an answer, ended the attempt. A sound endpoint may be silent for about a second; it does not notice that its connection is closed in that time, and goes on. The connection was closed before anything was known of a successor, and a stream that had begun waited for another slot only as long as a new request.

Change: - After that time the endpoint is only recorded as failing, and only if another one has a slot; routing avoids it as before. - The attempt is abandoned after 1.2 s of silence of the whole endpoint, or less if the caller waits for less, and only while another endpoint has a slot. An endpoint that sends bytes to other requests is not silent and would notice the end, so that an attempt there is abandoned when it is failing. - A whole body is watched by its parts, not by one time for all of it. - A stream that has begun waits for a slot until its caller's deadline.

--- a/mangovalve/loop/conditional_timeout.h
+++ b/mangovalve/loop/conditional_timeout.h
@@ -1,12 +1,14 @@
 // ConditionalTimeout: a timeout that fires only if a condition holds.
 //
 // It bounds the wait for an endpoint's response. A fixed timeout would also
-// abandon an endpoint that only has the request in its queue, so the caller
-// decides at intervals whether abandoning it is useful.
+// abandon an endpoint that only has the request in its queue or that is silent
+// for a moment, so the caller decides at times of its choice whether abandoning
+// it is useful.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "mangovalve/base/time.h"
 #include "mangovalve/loop/asio.h"
@@ -16,17 +18,15 @@
 class ConditionalTimeout
 {
 public:
-  // Evaluates aCondition at aFirst and then at every aInterval. The first time
-  // that it holds, calls aOnTimeout and stops. Both functions are called on the
-  // loop, during the lifetime of this object only.
+  // Calls aCheck at aFirst and then at each time that it returns. If it returns
+  // none, calls aOnTimeout and stops. Both functions are called on the loop,
+  // during the lifetime of this object only.
   ConditionalTimeout(asio::io_context& aLoop,
                      TimePoint aFirst,
-                     Duration aInterval,
-                     std::function<bool()> aCondition,
+                     std::function<auto()->std::optional<TimePoint>> aCheck,
                      std::function<void()> aOnTimeout)
     : mState(std::make_shared<State>(State{ asio::steady_timer(aLoop),
-                                            aInterval,
-                                            std::move(aCondition),
+                                            std::move(aCheck),
                                             std::move(aOnTimeout) }))
   {
     Arm(mState, aFirst);
@@ -44,8 +44,7 @@
   struct State
   {
     asio::steady_timer mTimer;
-    Duration mInterval;
-    std::function<bool()> mCondition;
+    std::function<auto()->std::optional<TimePoint>> mCheck;
     std::function<void()> mOnTimeout;
     bool mEnded = false;
   };
@@ -58,10 +57,10 @@
       if (aError || state->mEnded) {
         return;
       }
-      if (state->mCondition()) {
-        state->mOnTimeout();
+      if (const auto next = state->mCheck()) {
+        Arm(state, *next);
       } else {
-        Arm(state, Clock::now() + state->mInterval);
+        state->mOnTimeout();
       }
     });
   }
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -234,11 +234,11 @@
 auto ReadBody(ClientConnection& aConnection,
               ResponseParser& aParser,
               TimePoint aDeadline,
-              std::size_t aMaxBytes,
-              BudgetedBytes* aBytes) -> Task<ErrorCode>
+              BodyLimits aLimits) -> Task<ErrorCode>
 {
   // A parser reserves the announced length before it reads.
-  if (aParser.content_length() && *aParser.content_length() > aMaxBytes) {
+  if (aParser.content_length() &&
+      *aParser.content_length() > aLimits.mMaxBytes) {
     co_return ErrorCode(http::error::body_limit);
   }
   aConnection.mStream.expires_at(aDeadline);
@@ -250,12 +250,15 @@
       co_return error;
     }
     const auto size = aParser.get().body().size();
-    if (size > aMaxBytes) {
+    if (size > aLimits.mMaxBytes) {
       co_return ErrorCode(http::error::body_limit);
     }
-    if (aBytes != nullptr && !aBytes->Resize(size)) {
+    if (aLimits.mBudgeted != nullptr && !aLimits.mBudgeted->Resize(size)) {
       co_return ErrorCode(asio::error::no_buffer_space);
     }
+    if (aLimits.mOnProgress) {
+      aLimits.mOnProgress();
+    }
   }
   co_return ErrorCode();
 }
@@ -264,7 +267,9 @@
                  ResponseParser& aParser,
                  TimePoint aDeadline) -> Task<ErrorCode>
 {
-  return ReadBody(aConnection, aParser, aDeadline, kMaxDiscardedBytes);
+  BodyLimits limits;
+  limits.mMaxBytes = kMaxDiscardedBytes;
+  return ReadBody(aConnection, aParser, aDeadline, std::move(limits));
 }
 
 auto ReusableUntil(const ClientConnection& aConnection,
@@ -299,7 +304,9 @@
     error = co_await ReadHead(**connection, parser, aDeadline);
   }
   if (!error) {
-    error = co_await ReadBody(**connection, *parser, aDeadline);
+    BodyLimits limits;
+    error =
+      co_await ReadBody(**connection, *parser, aDeadline, std::move(limits));
   }
   if (error) {
     // Other idle connections have probably been closed or become unresponsive
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -139,13 +140,20 @@
   std::size_t mBytes = 0;
 };
 
-// Reads the rest of the body. Fails with body_limit if it exceeds aMaxBytes,
+// How the rest of a body is read.
+struct BodyLimits
+{
+  std::size_t mMaxBytes = kMaxBodyBytes;
+  BudgetedBytes* mBudgeted = nullptr; // of a budget that bounds it too
+  std::function<void()> mOnProgress;  // called after each part
+};
+
+// Reads the rest of the body. Fails with body_limit if it exceeds the maximum,
 // and with no_buffer_space if it exceeds the budget.
 auto ReadBody(ClientConnection& aConnection,
               ResponseParser& aParser,
               TimePoint aDeadline,
-              std::size_t aMaxBytes = kMaxBodyBytes,
-              BudgetedBytes* aBytes = nullptr) -> Task<ErrorCode>;
+              BodyLimits aLimits) -> Task<ErrorCode>;
 
 // Reads the rest of a body that nobody needs, so that the connection can be
 // reused. Fails with body_limit if that is not worthwhile.
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -78,6 +78,12 @@
   TimePoint mAttemptAt{};             // start of the current attempt
   std::uint64_t mEventsBefore = 0;    // mForwardedEvents at that time
   bool mAnswerBegun = false;          // by the endpoint, in this attempt
+  // If the endpoint of this attempt sends nothing until then, it is failing,
+  // and the attempt is to be abandoned.
+  TimePoint mFailingAt{};
+  TimePoint mAbandonAt{};
+  bool mFailing = false;    // recorded for the current silence
+  bool mForwarding = false; // it is the caller that is awaited
   // When the endpoint ended the connection before it had begun to answer.
   std::optional<TimePoint> mLostAt;
   std::string mEndpoint; // id of the last endpoint, for the log
@@ -160,21 +166,29 @@
                      const ResponseParser& aParser) -> Task<StepResult>;
   auto SendToCaller(std::string aBytes, const ResponseParser& aParser)
     -> Task<bool>;
-  // Closes the connection of a request that may be retried at another endpoint,
-  // once the first-byte timeout has expired and another endpoint has a slot.
-  // While all slots are taken, the request is most likely queued at its
-  // endpoint. Null if the request may not be retried.
-  auto WatchFirstByte(const Endpoint& aEndpoint, ClientConnection& aConnection)
-    -> std::unique_ptr<ConditionalTimeout>;
+  // Watches an endpoint that may be silent for aTimeout. If another endpoint
+  // has a slot then, records that this one is failing, and later closes the
+  // connection. While all slots are taken, the request is most likely queued at
+  // its endpoint, and its work there would be lost for nothing. Null if the
+  // request may not be sent to another endpoint.
+  auto WatchSilence(Endpoint& aEndpoint,
+                    ClientConnection& aConnection,
+                    Duration aTimeout) -> std::unique_ptr<ConditionalTimeout>;
+  // Time of the next check; none if the attempt is to be abandoned.
+  auto CheckSilence(Endpoint& aEndpoint) -> std::optional<TimePoint>;
+  // Starts the silence of the endpoint anew.
+  auto NoteProgress(Duration aTimeout) -> void;
   // Whether the caller is connected and the deadline has not expired.
   auto MayContinue() const -> bool;
   // Whether another endpoint may get the request after one may have run it.
   auto MayRetryAfterRun() const -> bool;
-  // Deadline for the next bytes from an endpoint. Equals the request's own
-  // deadline if the request may not be retried at another endpoint.
-  auto InactivityDeadline(Duration aTimeout) const -> TimePoint;
-  auto FirstByteDeadline() const -> TimePoint;
-  auto GapDeadline() const -> TimePoint;
+  auto FirstByteTimeout() const -> Duration;
+  auto GapTimeout() const -> Duration;
+  // Longest silence of an endpoint before another one gets the request.
+  auto MaxSilence() const -> Duration;
+  // When that silence ends, if it begins now. Equals the request's own deadline
+  // if the request may not be sent to another endpoint.
+  auto SilenceDeadline() const -> TimePoint;
   auto Finish(RefusalReason aRefusal, std::optional<milliseconds> aRetryAfter)
     -> Task<>;
   // Ends a request whose caller has disconnected. One that has only ended its
@@ -278,29 +292,43 @@
   return !mContext.mCaller->Disconnected() && Clock::now() < mContext.mDeadline;
 }
 
-auto RelayedRequest::InactivityDeadline(Duration aTimeout) const -> TimePoint
+auto RelayedRequest::FirstByteTimeout() const -> Duration
 {
-  return MayRetryAfterRun()
-           ? std::min(mContext.mDeadline, Clock::now() + aTimeout)
-           : mContext.mDeadline;
+  return std::max(
+    mPolicy.mMinFirstByteTimeout,
+    Scaled(mContext.mRoute->mLatencyObjective, mPolicy.mFirstByteObjectives));
 }
 
-auto RelayedRequest::FirstByteDeadline() const -> TimePoint
+auto RelayedRequest::GapTimeout() const -> Duration
 {
-  return InactivityDeadline(std::max(
-    mPolicy.mMinFirstByteTimeout,
-    Scaled(mContext.mRoute->mLatencyObjective, mPolicy.mFirstByteObjectives)));
+  return std::max(
+    mPolicy.mMinGapTimeout,
+    Scaled(mContext.mRoute->mInterEventObjective, mPolicy.mGapObjectives));
 }
 
-auto RelayedRequest::GapDeadline() const -> TimePoint
+auto RelayedRequest::MaxSilence() const -> Duration
 {
-  return InactivityDeadline(std::max(
-    mPolicy.mMinGapTimeout,
-    Scaled(mContext.mRoute->mInterEventObjective, mPolicy.mGapObjectives)));
+  const auto& route = *mContext.mRoute;
+  const auto timeout =
+    mContext.mMetadata.mCallerTimeout.value_or(route.mTimeout);
+  const auto patience = std::min(route.mCallerPatience, timeout);
+  return std::min(mPolicy.mMaxSilence,
+                  Scaled(patience, mPolicy.mMaxSilenceShare));
+}
+
+auto RelayedRequest::SilenceDeadline() const -> TimePoint
+{
+  return MayRetryAfterRun()
+           ? std::min(mContext.mDeadline, Clock::now() + MaxSilence())
+           : mContext.mDeadline;
 }
 
 auto RelayedRequest::WaitDeadline(TimePoint aNow) const -> TimePoint
 {
+  // The caller of a stream that has begun decides for itself how long it waits.
+  if (mContext.mHeadSent) {
+    return mContext.mDeadline;
+  }
   const auto& route = *mContext.mRoute;
   const auto first = mContext.mCaller->mArrivedAt +
                      Scaled(route.mLatencyObjective, mPolicy.mMaxWaitShare);
@@ -504,7 +532,7 @@
   mContext.mAnswerBegun = false;
   mContext.mLostAt.reset();
   const auto error =
-    co_await SendRequest(aConnection, request, FirstByteDeadline());
+    co_await SendRequest(aConnection, request, SilenceDeadline());
   if (error && !mContext.mCaller->Disconnected()) {
     NoteError(error);
     NoteFailure(aEndpoint, absl::StrCat("send: ", error.message()));
@@ -513,22 +541,58 @@
   co_return StepResult::Done;
 }
 
-auto RelayedRequest::WatchFirstByte(const Endpoint& aEndpoint,
-                                    ClientConnection& aConnection)
+auto RelayedRequest::NoteProgress(Duration aTimeout) -> void
+{
+  const auto now = Clock::now();
+  mContext.mFailingAt = now + aTimeout;
+  mContext.mAbandonAt = now + std::max(aTimeout, MaxSilence());
+  mContext.mFailing = false;
+}
+
+auto RelayedRequest::CheckSilence(Endpoint& aEndpoint)
+  -> std::optional<TimePoint>
+{
+  const auto now = Clock::now();
+  if (mContext.mForwarding) {
+    NoteProgress(GapTimeout());
+  }
+  if (now < mContext.mFailingAt) {
+    return mContext.mFailingAt;
+  }
+  auto tried = mContext.mTried;
+  tried.push_back(aEndpoint.mRegistration.mId);
+  if (!HasFreeSlot(mState, mContext.mService, tried)) {
+    return now + mPolicy.mFreeSlotCheckInterval;
+  }
+  if (!mContext.mFailing) {
+    mContext.mFailing = true;
+    LogEvent(Severity::Info,
+             "endpoint_silent",
+             { { "id", mContext.mMetadata.mId },
+               { "endpoint", aEndpoint.mRegistration.mId } });
+    RecordExchange(mState, aEndpoint, ExchangeResult::Failed);
+  }
+  // An endpoint that answers other requests notices the end of this one.
+  const auto alive = aEndpoint.mHeardAt + mPolicy.mAliveAfterBytes > now;
+  return alive || now >= mContext.mAbandonAt
+           ? std::nullopt
+           : std::optional(std::min(now + mPolicy.mFreeSlotCheckInterval,
+                                    mContext.mAbandonAt));
+}
+
+auto RelayedRequest::WatchSilence(Endpoint& aEndpoint,
+                                  ClientConnection& aConnection,
+                                  Duration aTimeout)
   -> std::unique_ptr<ConditionalTimeout>
 {
   if (!MayRetryAfterRun()) {
     return nullptr;
   }
-  auto tried = mContext.mTried;
-  tried.push_back(aEndpoint.mRegistration.mId);
+  NoteProgress(aTimeout);
   return std::make_unique<ConditionalTimeout>(
     mState.mLoop,
-    FirstByteDeadline(),
-    mPolicy.mFreeSlotCheckInterval,
-    [this, tried = std::move(tried)] {
-      return HasFreeSlot(mState, mContext.mService, tried);
-    },
+    mContext.mFailingAt,
+    [this, &aEndpoint] { return CheckSilence(aEndpoint); },
     [&aConnection] { aConnection.mStream.close(); });
 }
 
@@ -538,12 +602,13 @@
   -> Task<StepResult>
 {
   for (int discarded = 0; discarded <= kMaxDiscardedAnswers; ++discarded) {
-    const auto watch = WatchFirstByte(aEndpoint, aConnection);
+    const auto watch = WatchSilence(aEndpoint, aConnection, FirstByteTimeout());
     const auto error =
       co_await ReadHead(aConnection, aParser, mContext.mDeadline);
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
+    aEndpoint.mHeardAt = error ? aEndpoint.mHeardAt : Clock::now();
     if (error) {
       NoteError(error);
       // The endpoint may have closed a reused connection before it received the
@@ -572,7 +637,7 @@
                { "answers", metadata.mId },
                { "endpoint", aEndpoint.mRegistration.mId } });
     const auto bodyError =
-      co_await DiscardBody(aConnection, *aParser, FirstByteDeadline());
+      co_await DiscardBody(aConnection, *aParser, SilenceDeadline());
     if (bodyError) {
       NoteError(bodyError);
       break;
@@ -606,7 +671,7 @@
                    aMetadata.mWrongEndpoint ? ExchangeResult::Leaving
                                             : ExchangeResult::Ignored);
     const auto bodyError =
-      co_await DiscardBody(aConnection, aParser, FirstByteDeadline());
+      co_await DiscardBody(aConnection, aParser, SilenceDeadline());
     if (bodyError) {
       aConnection.mStream.close();
     }
@@ -638,8 +703,16 @@
                                   ResponseParser& aParser) -> Task<StepResult>
 {
   BudgetedBytes bytes(mState.mAnswerBytes);
+  const auto watch = WatchSilence(aEndpoint, aConnection, GapTimeout());
+  BodyLimits limits;
+  limits.mMaxBytes = kMaxAnswerBytes;
+  limits.mBudgeted = &bytes;
+  limits.mOnProgress = [this, &aEndpoint] {
+    aEndpoint.mHeardAt = Clock::now();
+    NoteProgress(GapTimeout());
+  };
   const auto error = co_await ReadBody(
-    aConnection, aParser, GapDeadline(), kMaxAnswerBytes, &bytes);
+    aConnection, aParser, mContext.mDeadline, std::move(limits));
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -667,11 +740,10 @@
                                    ResponseParser& aParser) -> Task<StepResult>
 {
   EventSplitter splitter;
-  // Extended by whole events only, so that single bytes and comments do not
-  // keep a stalled stream.
-  auto progressBy = GapDeadline();
+  const auto watch = WatchSilence(aEndpoint, aConnection, GapTimeout());
   while (!aParser.is_done()) {
-    const auto bytes = co_await ReadSomeBody(aConnection, aParser, progressBy);
+    const auto bytes =
+      co_await ReadSomeBody(aConnection, aParser, mContext.mDeadline);
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
@@ -680,15 +752,19 @@
       NoteFailure(aEndpoint, absl::StrCat("stream: ", bytes.error().message()));
       co_return StepResult::Failed;
     }
+    aEndpoint.mHeardAt = Clock::now();
     auto events = SplitEvents(splitter, *bytes);
     if (!mContext.mAnswerBegun &&
         std::any_of(events.begin(), events.end(), IsProgress)) {
       NoteAnswerBegun();
     }
     const auto before = mContext.mForwardedEvents;
+    mContext.mForwarding = true;
     const auto step = co_await ForwardEvents(std::move(events), aParser);
+    mContext.mForwarding = false;
+    // Single bytes and comments do not keep a stalled stream.
     if (mContext.mForwardedEvents > before) {
-      progressBy = GapDeadline();
+      NoteProgress(GapTimeout());
     }
     if (step == StepResult::Failed) {
       NoteFailure(aEndpoint, "stream: events are missing");
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -38,18 +38,26 @@
   // would wait longer is refused at once, so that the caller can still retry in
   // time.
   double mMaxWaitShare = 0.7;
-  // Timeout for the first byte of an answer, as a multiple of the latency
-  // objective but at least the minimum. The attempt is then abandoned if the
-  // request may be repeated and another endpoint has a slot.
+  // Silence after which an endpoint counts as failing if another one has a
+  // slot, before the first byte of an answer and between its parts, as
+  // multiples of the latency and the gap objective but at least the minimum.
+  // The attempt goes on.
   double mFirstByteObjectives = 2;
   Duration mMinFirstByteTimeout = std::chrono::milliseconds(600);
-  // Interval between checks for a slot at another endpoint after this timeout.
-  Duration mFreeSlotCheckInterval = std::chrono::milliseconds(100);
-  // Timeout between parts of an answer, as a multiple of the gap objective but
-  // at least the minimum. The attempt is then repeated, or the stream resumed,
-  // at another endpoint if that is allowed.
   double mGapObjectives = 2;
   Duration mMinGapTimeout = std::chrono::milliseconds(800);
+  // Silence of the whole endpoint after which the attempt is abandoned if the
+  // request may be repeated or resumed and another endpoint has a slot, as a
+  // share of the time for which the caller waits. A sound endpoint may be
+  // silent for about a second, does not notice in that time that its connection
+  // is closed, and then goes on.
+  double mMaxSilenceShare = 0.625;
+  Duration mMaxSilence = std::chrono::milliseconds(1200);
+  // An endpoint that has sent bytes to this host in the last mAliveAfterBytes
+  // is not silent; an attempt there is abandoned once the endpoint is failing.
+  Duration mAliveAfterBytes = std::chrono::milliseconds(300);
+  // Interval between checks for a slot at another endpoint after that.
+  Duration mFreeSlotCheckInterval = std::chrono::milliseconds(100);
   Duration mConnectTimeout = std::chrono::milliseconds(400);
   // Connections that have been idle for longer are not used for requests that
   // must not run twice: the endpoint may be about to close them, and after a
--- a/mangovalve/serving/document.h
+++ b/mangovalve/serving/document.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds mLatencyObjective{ 1000 };
   // Between two events of a stream; 0: none.
   std::chrono::milliseconds mInterEventObjective{ 0 };
+  // Silence after which callers abandon an answer.
+  std::chrono::milliseconds mCallerPatience{ 30000 };
   int mPriority = 0;       // 0 is the highest
   bool mPublic = false;    // no key needed
   bool mResumable = false; // streams only
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -57,6 +57,7 @@
   Health mHealth;
   EndpointStatementsPtr mStatements = std::make_shared<EndpointStatements>();
   InFlight mOwnInFlight;
+  TimePoint mHeardAt{}; // last bytes that it sent in any exchange
   // Requests that the endpoint reported beyond those that the daemons' reports
   // account for, and when it reported them. The value decays with time.
   double mUnaccountedLoad = 0;
