--- a/standins/common/endpoint_server.cc
+++ b/standins/common/endpoint_server.cc
@@ -184,7 +184,23 @@
   if (absl::SimpleAtoi(HeaderText(aRequest, "Last-Event-Id"), &last)) {
     run.mFrom = last;
   }
+  const auto index = mRuns.size();
   mRuns.push_back(run);
+  co_await Answer(aCaller, aRequest);
+  mRuns[index].mEndedAt = Clock::now();
+}
+
+auto EndpointServer::Work(Duration aTime) -> Task<>
+{
+  co_await SleepUntil(Clock::now() + aTime);
+  while (Clock::now() < mSilentUntil) {
+    co_await SleepUntil(mSilentUntil);
+  }
+}
+
+auto EndpointServer::Answer(CallerPtr aCaller, const Request& aRequest)
+  -> Task<>
+{
   if (mFaults.mSilent) {
     co_await SleepUntil(Clock::now() + kSilence);
     aCaller->Abort();
@@ -194,11 +210,12 @@
     co_await Stream(aCaller, aRequest);
     co_return;
   }
-  co_await SleepUntil(Clock::now() + mOptions.mWork);
+  co_await Work(mOptions.mWork);
   Response response;
   response.base() =
     Head(aRequest, mFaults.mStatus == 0 ? 200 : mFaults.mStatus);
-  response.body() = absl::StrCat("answer to ", run.mId);
+  response.body() =
+    absl::StrCat("answer to ", HeaderText(aRequest, "Request-Id"));
   if (mFaults.mStrayAnswers > 0) {
     --mFaults.mStrayAnswers;
     auto second = response;
@@ -226,7 +243,7 @@
     !mFaults.mDeadlyPart.empty() && HasPart(aRequest, mFaults.mDeadlyPart);
   std::uint32_t sent = 0;
   for (auto number = last + 1; number <= mOptions.mEvents; ++number) {
-    co_await SleepUntil(Clock::now() + mOptions.mPerEvent);
+    co_await Work(mOptions.mPerEvent);
     if (aCaller->Disconnected()) {
       co_return;
     }
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -50,6 +50,7 @@
   std::uint64_t mFrom = 0; // first event that was asked for
   bool mKeySeen = false;   // the caller's key came along
   TimePoint mAt;
+  TimePoint mEndedAt; // zero while it runs
 };
 
 class EndpointServer
@@ -71,6 +72,8 @@
 
   EndpointOptions mOptions;
   EndpointFaults mFaults;
+  // Until then it neither sends anything nor notices a closed connection.
+  TimePoint mSilentUntil{};
   std::vector<EndpointRun> mRuns;
   std::vector<TimePoint> mArrivals; // of all requests, refused ones too
   std::uint32_t mRunning = 0;
@@ -81,6 +84,9 @@
 private:
   auto Handle(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
   auto Run(CallerPtr aCaller, const Request& aRequest) -> Task<>;
+  auto Answer(CallerPtr aCaller, const Request& aRequest) -> Task<>;
+  // Waits for at least aTime, and until the endpoint is not silent.
+  auto Work(Duration aTime) -> Task<>;
   auto Stream(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   auto Recover(TimePoint aAt) -> Task<>;
   auto Head(const Request& aRequest, unsigned aStatus) const -> ResponseHead;
--- a/standins/soak/checker.h
+++ b/standins/soak/checker.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "mangovalve/base/time.h"
 
@@ -41,15 +42,29 @@
   // A connection that is reset later than this after the last byte had been
   // accepted by the host. Zero: not judged.
   std::chrono::milliseconds mLateReset{ 200 };
+  // A request that runs at two endpoints at once for longer.
+  std::chrono::milliseconds mOverlap{ 400 };
 };
 
+// One run of a request at an endpoint.
+struct RunSpan
+{
+  std::size_t mEndpoint = 0;
+  TimePoint mFrom;
+  TimePoint mUntil;
+};
+
+// Longest time for which a request has run at two endpoints at once.
+auto LongestOverlap(const std::vector<RunSpan>& aRuns) -> Duration;
+
 // Whether the status promises that a request has not run and never will.
 auto IsRefusal(unsigned aStatus) -> bool;
 
 // The rule that the attempt broke, with its figures; nothing if it broke none.
-// aRuns is how often the endpoints have run or begun it.
-auto Judge(const Attempt& aAttempt, std::size_t aRuns, const JudgeRules& aRules)
-  -> std::optional<std::string>;
+// aRuns are all runs of the request that the endpoints have begun.
+auto Judge(const Attempt& aAttempt,
+           const std::vector<RunSpan>& aRuns,
+           const JudgeRules& aRules) -> std::optional<std::string>;
 
 // What is wrong with a whole stream of aEvents events; empty: nothing.
 auto StreamProblem(const std::string& aId,
--- a/standins/soak/checker_test.cc
+++ b/standins/soak/checker_test.cc
@@ -49,6 +49,17 @@
   return attempt;
 }
 
+// Runs at one endpoint, one after the other.
+auto Runs(std::size_t aCount) -> std::vector<RunSpan>
+{
+  std::vector<RunSpan> runs;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    const TimePoint from{ seconds(i) };
+    runs.push_back({ 0, from, from + milliseconds(100) });
+  }
+  return runs;
+}
+
 // A server that reads each request and then does aBehavior.
 auto AskServer(RawServer::Behavior aBehavior) -> Attempt
 {
@@ -69,7 +80,7 @@
       co_return;
     });
   CHECK(attempt.mEnding == Ending::Closed);
-  CHECK(Judge(attempt, 0, {}));
+  CHECK(Judge(attempt, Runs(0), {}));
 }
 
 TEST_CASE("a response that breaks off is reported")
@@ -86,7 +97,7 @@
       aSocket.close();
     });
     CHECK(attempt.mEnding != Ending::Answered);
-    CHECK(Judge(attempt, 0, {}));
+    CHECK(Judge(attempt, Runs(0), {}));
   }
 }
 
@@ -108,11 +119,11 @@
             plan);
   CHECK(
     (attempt.mEnding == Ending::Reset || attempt.mEnding == Ending::Unsent));
-  CHECK_FALSE(Judge(attempt, 0, { milliseconds(0) }));
+  CHECK_FALSE(Judge(attempt, Runs(0), { milliseconds(0) }));
   // An endpoint that has run it makes a reset a loss.
   auto ran = attempt;
   ran.mEnding = Ending::Reset;
-  CHECK(Judge(ran, 1, {}));
+  CHECK(Judge(ran, Runs(1), {}));
 }
 
 TEST_CASE("a reset long after the request was sent is reported")
@@ -122,11 +133,11 @@
   attempt.mEnding = Ending::Reset;
   attempt.mSentAt = TimePoint(seconds(10));
   attempt.mEndedAt = attempt.mSentAt + milliseconds(900);
-  CHECK(Judge(attempt, 0, { milliseconds(200) }));
-  CHECK_FALSE(Judge(attempt, 0, { milliseconds(0) }));
+  CHECK(Judge(attempt, Runs(0), { milliseconds(200) }));
+  CHECK_FALSE(Judge(attempt, Runs(0), { milliseconds(0) }));
   // Time in which the caller was not running doesn't count.
   attempt.mStalled = milliseconds(800);
-  CHECK_FALSE(Judge(attempt, 0, { milliseconds(200) }));
+  CHECK_FALSE(Judge(attempt, Runs(0), { milliseconds(200) }));
 }
 
 TEST_CASE("false refusals, second runs and wrong responses are reported")
@@ -135,17 +146,17 @@
   Attempt attempt;
   attempt.mEnding = Ending::Answered;
   attempt.mStatus = 503;
-  CHECK_FALSE(Judge(attempt, 0, {}));
-  CHECK(Judge(attempt, 1, {}));
+  CHECK_FALSE(Judge(attempt, Runs(0), {}));
+  CHECK(Judge(attempt, Runs(1), {}));
   attempt.mStatus = 200;
-  CHECK_FALSE(Judge(attempt, 2, {}));
+  CHECK_FALSE(Judge(attempt, Runs(2), {}));
   attempt.mMayRepeat = false;
-  CHECK_FALSE(Judge(attempt, 1, {}));
-  CHECK(Judge(attempt, 2, {}));
+  CHECK_FALSE(Judge(attempt, Runs(1), {}));
+  CHECK(Judge(attempt, Runs(2), {}));
   attempt.mProblem = "wrong body";
-  CHECK(Judge(attempt, 1, {}));
+  CHECK(Judge(attempt, Runs(1), {}));
   attempt.mEnding = Ending::Overdue;
-  CHECK(Judge(attempt, 0, {}));
+  CHECK(Judge(attempt, Runs(0), {}));
 }
 
 TEST_CASE("a stream with a missing, repeated or foreign event is reported")
@@ -163,5 +174,25 @@
   CHECK_FALSE(StreamProblem("r1", 2, one + two + "id: 3").empty());
 }
 
+TEST_CASE("runs at two endpoints at once are reported")
+{
+  // Guards against a request that goes on elsewhere while its endpoint is only
+  // silent.
+  Attempt attempt;
+  attempt.mEnding = Ending::Answered;
+  attempt.mStatus = 200;
+  const TimePoint from{ seconds(1) };
+  const auto run = [from](std::size_t aEndpoint, int aBegin, int aEnd) {
+    return RunSpan{ aEndpoint,
+                    from + milliseconds(aBegin),
+                    from + milliseconds(aEnd) };
+  };
+  CHECK_FALSE(Judge(attempt, { run(0, 0, 1000) }, {}));
+  CHECK_FALSE(Judge(attempt, { run(0, 0, 1000), run(1, 1000, 2000) }, {}));
+  CHECK_FALSE(Judge(attempt, { run(0, 0, 1000), run(1, 700, 2000) }, {}));
+  CHECK(Judge(attempt, { run(0, 0, 1000), run(1, 500, 2000) }, {}));
+  CHECK(Judge(attempt, { run(1, 500, 2000), run(0, 0, 1000) }, {}));
+}
+
 } // namespace
 } // namespace mangovalve::standin
--- a/standins/soak/main.cc
+++ b/standins/soak/main.cc
@@ -26,6 +26,8 @@
 DEFINE_int32(late_reset_ms, 200, "judge later resets as violations; 0: none");
 DEFINE_bool(pauses, false, "processes do not run for a while during stops");
 DEFINE_bool(slow_store, false, "the store is slow at times");
+DEFINE_bool(silences, false, "sound endpoints are silent for up to 1.5 s");
+DEFINE_uint32(slots, 64, "slots of each endpoint");
 
 namespace mangovalve::standin {
 namespace {
@@ -63,6 +65,8 @@
   options.mRules.mLateReset = std::chrono::milliseconds(FLAGS_late_reset_ms);
   options.mSlowStore = FLAGS_slow_store;
   options.mPauses = FLAGS_pauses;
+  options.mSilences = FLAGS_silences;
+  options.mSlots = FLAGS_slots;
   return options;
 }
 
--- a/standins/soak/planned_work.cc
+++ b/standins/soak/planned_work.cc
@@ -289,4 +289,25 @@
   mStore.mFaults = {};
 }
 
+// Silences a random part of the endpoints, or all of them at once, for up to a
+// second and a half.
+auto Soak::SilenceEndpoints() -> Task<>
+{
+  constexpr auto kMostSilence = milliseconds(1500);
+  constexpr auto kMostPause = milliseconds(3000);
+  constexpr std::uint64_t kAllAtOnce = 25; // percent
+  while (!mCallersEnd) {
+    const auto all = Chance(mRandom, kAllAtOnce);
+    const auto silence = RandomTime(mRandom, kMostSilence);
+    for (auto& endpoint : mEndpoints) {
+      if (all || Chance(mRandom, 30)) {
+        endpoint.mSilentUntil = Clock::now() + silence;
+        ++mCounts["silences"];
+      }
+    }
+    co_await SleepUntil(Clock::now() + silence +
+                        RandomTime(mRandom, kMostPause));
+  }
+}
+
 } // namespace mangovalve::standin
--- a/standins/soak/soak.cc
+++ b/standins/soak/soak.cc
@@ -30,7 +30,6 @@
 constexpr auto kCheckInterval = seconds(1);
 constexpr auto kRenewInterval = seconds(1);
 constexpr auto kCallerEndDeadline = seconds(30);
-constexpr std::uint32_t kSlots = 64;
 
 // An address on loopback of its own for each process of this program, so that
 // soaks can run side by side.
@@ -107,12 +106,12 @@
   mRegistrations.push_back({ { "service", aService },
                              { "address", address },
                              { "zone", "a" },
-                             { "capacity", kSlots },
+                             { "capacity", mOptions.mSlots },
                              { "state", "ready" },
                              { "sequence", 1 },
                              { "born", mEndpoints.size() + 1 } });
   aOptions.mId = absl::StrCat("e", mEndpoints.size());
-  aOptions.mSlots = kSlots;
+  aOptions.mSlots = mOptions.mSlots;
   return !mEndpoints.emplace_back(mLoop, aOptions).Listen(address);
 }
 
@@ -184,6 +183,9 @@
       Violate(host.mProcess.mName + " is not ready at the start", Clock::now());
     }
   }
+  if (mOptions.mSilences) {
+    Spawn(mLoop, SilenceEndpoints());
+  }
   for (std::size_t i = 0; i < mOptions.mCallers; ++i) {
     Spawn(mLoop, RunCaller(mCallers.emplace_back(mLoop, Next(mRandom))));
   }
@@ -350,10 +352,12 @@
 
 auto Soak::JudgeAttempts() -> void
 {
-  std::map<std::string, std::size_t> runs;
-  for (const auto& endpoint : mEndpoints) {
-    for (const auto& run : endpoint.mRuns) {
-      ++runs[run.mId];
+  std::map<std::string, std::vector<RunSpan>> runs;
+  for (std::size_t i = 0; i < mEndpoints.size(); ++i) {
+    for (const auto& run : mEndpoints[i].mRuns) {
+      const auto ended = run.mEndedAt != TimePoint{};
+      runs[run.mId].push_back(
+        { i, run.mAt, ended ? run.mEndedAt : Clock::now() });
     }
   }
   for (auto& attempt : mAttempts) {
--- a/standins/soak/soak.h
+++ b/standins/soak/soak.h
@@ -28,7 +28,9 @@
   std::string mBinary;    // the daemon
   JudgeRules mRules;
   bool mSlowStore = false;
-  bool mPauses = false; // processes do not run for a while during stops
+  bool mPauses = false;      // processes do not run for a while during stops
+  bool mSilences = false;    // sound endpoints are silent for a while
+  std::uint32_t mSlots = 64; // of each endpoint
 };
 
 // When the next process of a daemon is told to stop, apart from the schedule.
@@ -132,6 +134,7 @@
   auto ReloadSome() -> Task<>;
   auto PublishSeries() -> Task<>;
   auto DisturbStore() -> Task<>;
+  auto SilenceEndpoints() -> Task<>;
 
   // callers.cc
   auto ChooseHost(Random& aRandom) -> std::size_t;
