Require the first event of a stream, and notice spoiled ones

Cause: before any id was known, OrderOf() took an event with any id for the next one, and bytes that are no event were passed over. A last event that was spoiled as a whole was missed in the same way.

Change: streams number their events from 1, so one that is read from its start has to begin with 1. In streams that are always numbered (items, and routes whose streams may be resumed), data without an id and lines that are neither a comment nor a known field are a gap; the run goes on elsewhere.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -48,7 +48,7 @@
 // first gap; false if there is one.
 auto AppendEvents(BatchItem& aItem, std::vector<StreamEvent> aEvents) -> bool
 {
-  const auto selection = SelectNext(std::move(aEvents), aItem.mLastEvent);
+  const auto selection = SelectNext(std::move(aEvents), aItem.mLastEvent, true);
   for (const auto& event : selection.mNext) {
     if (!IsProgress(event)) {
       continue;
--- a/mangovalve/online/event_stream.cc
+++ b/mangovalve/online/event_stream.cc
@@ -41,6 +41,14 @@
   return id;
 }
 
+// Whether the line belongs to a comment or to a field that has a meaning in an
+// event without an id.
+auto IsKnownLine(absl::string_view aLine) -> bool
+{
+  return aLine.empty() || aLine == "\r" || aLine[0] == ':' ||
+         FieldValue(aLine, "event") || FieldValue(aLine, "retry");
+}
+
 // Length of the blank line that ends the event at aAt; 0 if there is none.
 auto EndLength(std::string_view aText, std::size_t aAt) -> std::size_t
 {
@@ -105,24 +113,31 @@
   return data;
 }
 
-auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
-  -> EventOrder
+auto OrderOf(const StreamEvent& aEvent,
+             std::optional<std::uint64_t> aLast,
+             bool aNumbered) -> EventOrder
 {
   if (!aEvent.mId) {
-    return aLast && IsProgress(aEvent) ? EventOrder::Gap : EventOrder::Next;
+    const auto lines = Lines(aEvent);
+    const auto spoiled =
+      aNumbered && !std::all_of(lines.begin(), lines.end(), IsKnownLine);
+    return spoiled || (aLast && IsProgress(aEvent)) ? EventOrder::Gap
+                                                    : EventOrder::Next;
   }
-  if (!aLast || *aEvent.mId == *aLast + 1) {
+  const auto next = aLast ? *aLast + 1 : kFirstEventId;
+  if (*aEvent.mId == next) {
     return EventOrder::Next;
   }
-  return *aEvent.mId <= *aLast ? EventOrder::Repeated : EventOrder::Gap;
+  return *aEvent.mId < next ? EventOrder::Repeated : EventOrder::Gap;
 }
 
 auto SelectNext(std::vector<StreamEvent> aEvents,
-                std::optional<std::uint64_t>& aLast) -> EventSelection
+                std::optional<std::uint64_t>& aLast,
+                bool aNumbered) -> EventSelection
 {
   EventSelection selection;
   for (auto& event : aEvents) {
-    const auto order = OrderOf(event, aLast);
+    const auto order = OrderOf(event, aLast, aNumbered);
     if (order == EventOrder::Gap) {
       selection.mGap = true;
       break;
--- a/mangovalve/online/event_stream.h
+++ b/mangovalve/online/event_stream.h
@@ -46,11 +46,18 @@
   Gap,      // events before it are missing
 };
 
-// Compares the event's id with aLast, the id of the last delivered event. Data
-// without an id has no place after numbered events; it may be an error message.
-// Without such events, and without data, it counts as the next event.
-auto OrderOf(const StreamEvent& aEvent, std::optional<std::uint64_t> aLast)
-  -> EventOrder;
+// Id of the first event of a stream that numbers its events.
+constexpr std::uint64_t kFirstEventId = 1;
+
+// Compares the event's id with aLast, the id of the last delivered event; none
+// before the first one. Data without an id has no place in a numbered stream;
+// it may be an error message or a spoiled event. aNumbered: all streams of this
+// kind are numbered, so that lines without an id that are neither a comment nor
+// a known field are spoiled too; otherwise data without an id counts as the
+// next event until there is one with an id.
+auto OrderOf(const StreamEvent& aEvent,
+             std::optional<std::uint64_t> aLast,
+             bool aNumbered) -> EventOrder;
 
 struct EventSelection
 {
@@ -61,6 +68,7 @@
 // Selects the events that follow aLast, up to the first gap, and sets aLast to
 // the id of the last one of them.
 auto SelectNext(std::vector<StreamEvent> aEvents,
-                std::optional<std::uint64_t>& aLast) -> EventSelection;
+                std::optional<std::uint64_t>& aLast,
+                bool aNumbered) -> EventSelection;
 
 } // namespace mangovalve
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -803,7 +803,9 @@
   -> Task<StepResult>
 {
   // The events before a gap count as delivered, so they have to be sent.
-  const auto selection = SelectNext(std::move(aEvents), mContext.mLastEvent);
+  // Only a numbered stream can be resumed.
+  const auto selection = SelectNext(
+    std::move(aEvents), mContext.mLastEvent, mContext.mRoute->mResumable);
   std::string bytes;
   for (const auto& event : selection.mNext) {
     bytes += event.mText;
