Say nothing of later results without a valid membership

Cause: only "no such job" depended on the lease.

Change: such a read is answered 503 unless this owner has a result at the position, which never changes, or the position is past the end.

Test: "an owner whose membership has lapsed says nothing of later results" failed before (200).

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -484,6 +484,11 @@
         job, aQuery.after, Clock::now() + wait);
     }
     reply.mPage = MakeResultPage(*job, aQuery.after, kPageBytes);
+    // Without a valid lease, another daemon may have published more results.
+    if (reply.mPage.results.empty() && aQuery.after < job->mItems.size() &&
+        !LeaseValid()) {
+      reply.mOutcome = JobOutcome::NotApplied;
+    }
   }
   co_return reply;
 }
