--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -52,7 +52,7 @@
   // silent for about a second, does not notice in that time that its connection
   // is closed, and then goes on.
   double mMaxSilenceShare = 0.625;
-  Duration mMaxSilence = std::chrono::milliseconds(1200);
+  Duration mMaxSilence = std::chrono::milliseconds(1400);
   // An endpoint that has sent bytes to this host in the last mAliveAfterBytes
   // is not silent; an attempt there is abandoned once the endpoint is failing.
   Duration mAliveAfterBytes = std::chrono::milliseconds(300);
