Take late requests only if their deadline ends before the exit

Cause: EndsBeforeExit() took a late request if the longest recent run and one silence of 1.5 s fitted into the time left. Nothing bounds a run: an endpoint falls silent again, a further attempt begins anew, the request waits for a slot, a host that has just started remembers only short runs.

The memory of the longest runs goes.

--- a/mangovalve/base/decayed_mean.h
+++ b/mangovalve/base/decayed_mean.h
@@ -1,4 +1,4 @@
-// A mean and a maximum that forget the past with each new value.
+// A mean that forgets the past with each new value.
 #pragma once
 
 namespace mangovalve {
@@ -10,11 +10,4 @@
   aMean = aMean == 0 ? aValue : kDecay * aMean + (1 - kDecay) * aValue;
 }
 
-// Raises a maximum to a value, or lowers it by a fixed share.
-inline auto UpdateDecayedMaximum(double& aMaximum, double aValue) -> void
-{
-  constexpr double kDecay = 0.998; // per value
-  aMaximum = aValue > kDecay * aMaximum ? aValue : kDecay * aMaximum;
-}
-
 } // namespace mangovalve
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -495,7 +495,6 @@
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> elapsed = Clock::now() - startedAt;
       UpdateDecayedMean(pool.mMeanSeconds, elapsed.count());
-      UpdateDecayedMaximum(pool.mLongestSeconds, elapsed.count());
     }
   }
   mContext.mCaller->mOnDisconnect = nullptr;
@@ -905,8 +904,7 @@
   }
   context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
   context.mDeadline = DeadlineOf(context);
-  if (!EndsBeforeExit(
-        mState, context.mService, context.mDeadline, Clock::now())) {
+  if (!EndsBeforeExit(mState, context.mDeadline)) {
     co_await refuse(RefusalReason::NotReady, kStoppingRetryAfter);
     co_return;
   }
@@ -933,9 +931,6 @@
       ? *team->second.mPriority
       : context.mRoute->mPriority;
   context.mLastEvent = context.mMetadata.mResumeAfter;
-  if (mState.mAnswerBy) {
-    context.mDeadline = std::min(context.mDeadline, *mState.mAnswerBy);
-  }
   RelayedRequest relayed(mState, mProtocol, mPolicy, context);
   co_await relayed.Run();
 }
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -36,13 +36,6 @@
 // network partition or pause must not hand its share of the rates to others.
 constexpr auto kRemoveAfter = std::chrono::seconds(12);
 
-// Time that a request of a host that is stopping is given, as a multiple of the
-// longest recent one.
-constexpr double kLateRequestMargin = 2;
-
-// Time for which a sound endpoint may be silent.
-constexpr std::chrono::duration<double> kSoundSilence(1.5);
-
 auto UnaccountedLoad(const Endpoint& aEndpoint, TimePoint aNow) -> double
 {
   const std::chrono::duration<double> age = aNow - aEndpoint.mUnaccountedLoadAt;
@@ -291,20 +284,9 @@
   return place ? aPool.mEndpoints[*place] : nullptr;
 }
 
-auto EndsBeforeExit(const ServingState& aState,
-                    const std::string& aService,
-                    TimePoint aDeadline,
-                    TimePoint aNow) -> bool
+auto EndsBeforeExit(const ServingState& aState, TimePoint aDeadline) -> bool
 {
-  if (!aState.mAnswerBy || aDeadline <= *aState.mAnswerBy) {
-    return true;
-  }
-  const auto pool = aState.mPools.find(aService);
-  const std::chrono::duration<double> longest(
-    pool == aState.mPools.end() ? 0 : pool->second.mLongestSeconds);
-  const std::chrono::duration<double> needed =
-    std::max(kLateRequestMargin * longest, longest + kSoundSilence);
-  return longest.count() > 0 && *aState.mAnswerBy - aNow >= needed;
+  return !aState.mAnswerBy || aDeadline <= *aState.mAnswerBy;
 }
 
 auto TriesQuarantine(const ServingState& aState, const PartSet& aSet) -> bool
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -89,8 +89,6 @@
   std::set<QueuedRequest> mQueue;
   // Mean duration of online requests at an endpoint; 0: unknown.
   double mMeanSeconds = 0;
-  // The same of the longest recent ones.
-  double mLongestSeconds = 0;
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
@@ -136,13 +134,10 @@
   SuspectExchange mSuspectExchange; // of mSuspects
 };
 
-// Whether a request to the service would have been answered before this host
-// exits: by its deadline, or judged by the longest recent requests, also if its
-// endpoint falls silent for a while.
-auto EndsBeforeExit(const ServingState& aState,
-                    const std::string& aService,
-                    TimePoint aDeadline,
-                    TimePoint aNow) -> bool;
+// Whether a request with this deadline is certain to be answered before this
+// host exits. How long recent requests took says nothing about it: endpoints
+// fall silent, and a further attempt begins anew.
+auto EndsBeforeExit(const ServingState& aState, TimePoint aDeadline) -> bool;
 
 // Whether this host is the one that tries requests with a quarantined set: the
 // first one in the rendezvous order of the hosts that are responsive here.
