Answer the requests in progress before a stopping host exits

Callers saw: a request of before the stop whose endpoint stayed silent ended with the process, its connection closed without an answer.

Cause: only requests that came after the signal were bounded by the exit. Those of before kept their own deadlines, and the process ended under them.

Change: every wait of a request is bounded by the time by which all must have been answered, and waits that are in progress then are interrupted. A request that has not run is refused with Retry-After 0, another one gets 504. A stream that has begun is still reset.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -261,7 +261,7 @@
   Spawn(mLoop, WatchForDisconnect(aCaller));
   auto request = std::make_shared<Request>(parser.release());
   co_await mHandler(aCaller, std::move(request));
-  caller.mOnDisconnect = nullptr;
+  caller.mInterrupt = nullptr;
   caller.mPhase = ConnectionPhase::Idle;
   if (!caller.mAnswered || caller.mChunked) {
     caller.Abort();
@@ -290,8 +290,8 @@
   if (closed && !aCaller->mDisconnected) {
     aCaller->mDisconnected = true;
     aCaller->mSendingEnded = count == 0;
-    if (const auto onDisconnect = aCaller->mOnDisconnect) {
-      onDisconnect();
+    if (const auto interrupt = aCaller->mInterrupt) {
+      interrupt();
     }
   }
 }
@@ -317,6 +317,15 @@
   }
 }
 
+auto AsyncHttpServer::InterruptHandlers() -> void
+{
+  for (const auto& caller : mCallers) {
+    if (const auto interrupt = caller->mInterrupt) {
+      interrupt();
+    }
+  }
+}
+
 auto AsyncHttpServer::ActiveRequests() const -> std::size_t
 {
   return static_cast<std::size_t>(
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -77,9 +77,9 @@
   // Whether a response to the current request was begun.
   auto Answered() const -> bool { return mAnswered; }
 
-  // Called once if the caller disconnects during the request. The handler sets
-  // it.
-  std::function<void()> mOnDisconnect;
+  // Ends what the handler awaits. Called if the caller disconnects during the
+  // request, and by InterruptHandlers. The handler sets it.
+  std::function<void()> mInterrupt;
 
   // When the request had been read.
   TimePoint mArrivedAt{};
@@ -122,6 +122,8 @@
   // one has arrived. A new connection is kept for the time that its first
   // request needs to arrive.
   auto CloseIdle() -> void;
+  // Ends what the handlers await, so that they answer now.
+  auto InterruptHandlers() -> void;
   // Accepts the connections that are already established, then no more.
   auto StopAccepting() -> void;
 
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -178,8 +178,14 @@
   auto CheckSilence(Endpoint& aEndpoint) -> std::optional<TimePoint>;
   // Starts the silence of the endpoint anew.
   auto NoteProgress(Duration aTimeout) -> void;
+  // When the request must have been answered.
+  auto Deadline() const -> TimePoint;
   // Whether the caller is connected and the deadline has not expired.
   auto MayContinue() const -> bool;
+  // Whether this host is about to exit.
+  auto Stopped() const -> bool;
+  // Why the request ends now without an answer of an endpoint.
+  auto Failure() const -> RefusalReason;
   // Whether another endpoint may get the request after one may have run it.
   auto MayRetryAfterRun() const -> bool;
   auto FirstByteTimeout() const -> Duration;
@@ -287,9 +293,29 @@
          mContext.mAttempts < mContext.mRoute->mMaxAttempts;
 }
 
+auto RelayedRequest::Deadline() const -> TimePoint
+{
+  return std::min(mContext.mDeadline,
+                  mState.mAnswerBy.value_or(TimePoint::max()));
+}
+
 auto RelayedRequest::MayContinue() const -> bool
 {
-  return !mContext.mCaller->Disconnected() && Clock::now() < mContext.mDeadline;
+  return !mContext.mCaller->Disconnected() && Clock::now() < Deadline();
+}
+
+auto RelayedRequest::Stopped() const -> bool
+{
+  return mState.mAnswerBy && Clock::now() >= *mState.mAnswerBy;
+}
+
+auto RelayedRequest::Failure() const -> RefusalReason
+{
+  if (mContext.mAttempts == 0) {
+    return Stopped() ? RefusalReason::NotReady : RefusalReason::Overloaded;
+  }
+  return Clock::now() >= Deadline() ? RefusalReason::TimedOut
+                                    : RefusalReason::EndpointFailed;
 }
 
 auto RelayedRequest::FirstByteTimeout() const -> Duration
@@ -318,16 +344,15 @@
 
 auto RelayedRequest::SilenceDeadline() const -> TimePoint
 {
-  return MayRetryAfterRun()
-           ? std::min(mContext.mDeadline, Clock::now() + MaxSilence())
-           : mContext.mDeadline;
+  return MayRetryAfterRun() ? std::min(Deadline(), Clock::now() + MaxSilence())
+                            : Deadline();
 }
 
 auto RelayedRequest::WaitDeadline(TimePoint aNow) const -> TimePoint
 {
   // The caller of a stream that has begun decides for itself how long it waits.
   if (mContext.mHeadSent) {
-    return mContext.mDeadline;
+    return Deadline();
   }
   const auto& route = *mContext.mRoute;
   const auto first = mContext.mCaller->mArrivedAt +
@@ -338,7 +363,7 @@
   const auto later =
     aNow + Scaled(route.mLatencyObjective, mPolicy.mMaxWaitShare / 2);
   const auto sent = mContext.mAttempts + mContext.mRefusals > 0;
-  return std::min(mContext.mDeadline, sent ? std::max(first, later) : first);
+  return std::min(Deadline(), sent ? std::max(first, later) : first);
 }
 
 auto RelayedRequest::Run() -> Task<>
@@ -357,11 +382,8 @@
       co_await EndForGoneCaller();
       co_return;
     }
-    if (!slot.mEndpoint) {
-      const auto ran = mContext.mAttempts > 0;
-      co_await Finish(ran ? RefusalReason::EndpointFailed
-                          : RefusalReason::Overloaded,
-                      slot.mRetryAfter);
+    if (!slot.mEndpoint || Stopped()) {
+      co_await Finish(Failure(), slot.mRetryAfter);
       co_return;
     }
     mContext.mEndpoint = slot.mEndpoint->mRegistration.mId;
@@ -391,11 +413,7 @@
         co_await RefuseQuarantined(mProtocol, mContext, *until);
         co_return;
       }
-      const auto timedOut = Clock::now() >= mContext.mDeadline;
-      co_await Finish(notRun     ? RefusalReason::Overloaded
-                      : timedOut ? RefusalReason::TimedOut
-                                 : RefusalReason::EndpointFailed,
-                      kRefusedRetryAfter);
+      co_await Finish(Failure(), kRefusedRetryAfter);
       co_return;
     }
   }
@@ -425,8 +443,10 @@
   if (mContext.mHeadSent) {
     mContext.mCaller->Abort();
   } else {
-    auto response =
-      mProtocol.mRefuse(aRefusal, mContext.mMetadata.mId, aRetryAfter);
+    auto response = mProtocol.mRefuse(
+      aRefusal,
+      mContext.mMetadata.mId,
+      aRefusal == RefusalReason::NotReady ? kStoppingRetryAfter : aRetryAfter);
     co_await mContext.mCaller->Reply(std::move(response));
   }
 }
@@ -457,7 +477,7 @@
   auto connection = co_await mState.mPool.Acquire(
     aEndpoint->mRegistration.mAddress,
     idleAfter,
-    std::min(mContext.mDeadline, now + mPolicy.mConnectTimeout));
+    std::min(Deadline(), now + mPolicy.mConnectTimeout));
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -481,7 +501,7 @@
     co_return StepResult::NoRetry;
   }
   auto& stream = (*connection)->mStream;
-  mContext.mCaller->mOnDisconnect = [&stream] { stream.close(); };
+  mContext.mCaller->mInterrupt = [&stream] { stream.close(); };
   const auto startedAt = Clock::now();
   auto step = co_await Send(*aEndpoint, **connection);
   std::optional<ResponseParser> parser;
@@ -497,7 +517,7 @@
       UpdateDecayedMean(pool.mMeanSeconds, elapsed.count());
     }
   }
-  mContext.mCaller->mOnDisconnect = nullptr;
+  mContext.mCaller->mInterrupt = nullptr;
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -521,8 +541,7 @@
   dispatch.mEndpointId = aEndpoint.mRegistration.mId;
   dispatch.mTeam = mContext.mTeam;
   dispatch.mRemaining = std::max(
-    kMinRemaining,
-    std::chrono::duration_cast<milliseconds>(mContext.mDeadline - now));
+    kMinRemaining, std::chrono::duration_cast<milliseconds>(Deadline() - now));
   dispatch.mResumeAfter = mContext.mLastEvent;
   const auto request = mProtocol.mEndpointRequest(*mContext.mRequest, dispatch);
   ++mContext.mAttempts;
@@ -602,8 +621,7 @@
 {
   for (int discarded = 0; discarded <= kMaxDiscardedAnswers; ++discarded) {
     const auto watch = WatchSilence(aEndpoint, aConnection, FirstByteTimeout());
-    const auto error =
-      co_await ReadHead(aConnection, aParser, mContext.mDeadline);
+    const auto error = co_await ReadHead(aConnection, aParser, Deadline());
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
@@ -710,8 +728,8 @@
     aEndpoint.mHeardAt = Clock::now();
     NoteProgress(GapTimeout());
   };
-  const auto error = co_await ReadBody(
-    aConnection, aParser, mContext.mDeadline, std::move(limits));
+  const auto error =
+    co_await ReadBody(aConnection, aParser, Deadline(), std::move(limits));
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -741,8 +759,7 @@
   EventSplitter splitter;
   const auto watch = WatchSilence(aEndpoint, aConnection, GapTimeout());
   while (!aParser.is_done()) {
-    const auto bytes =
-      co_await ReadSomeBody(aConnection, aParser, mContext.mDeadline);
+    const auto bytes = co_await ReadSomeBody(aConnection, aParser, Deadline());
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -91,18 +91,21 @@
   Wakeup wakeup(aState.mLoop);
   const QueuePosition place(
     aPool, QueuedRequest{ aRequest.mPriority, aState.mNextWaiter++, &wakeup });
-  caller.mOnDisconnect = [&wakeup] { wakeup.Notify(); };
+  caller.mInterrupt = [&wakeup] { wakeup.Notify(); };
+  const auto deadline = [&] {
+    return std::min(aRequest.mWaitDeadline,
+                    aState.mAnswerBy.value_or(TimePoint::max()));
+  };
   EndpointPtr endpoint;
-  while (!endpoint && Clock::now() < aRequest.mWaitDeadline &&
-         !caller.Disconnected()) {
+  while (!endpoint && Clock::now() < deadline() && !caller.Disconnected()) {
     // Nothing else notifies when a limit allows the next request.
     const auto nextAt = NextLimitedAt(aState, aPool, Clock::now());
-    co_await wakeup.WaitUntil(std::min(aRequest.mWaitDeadline, nextAt));
+    co_await wakeup.WaitUntil(std::min(deadline(), nextAt));
     if (place.IsFirst()) {
       endpoint = TakeEndpoint(aState, aPool, aRequest.mTried);
     }
   }
-  caller.mOnDisconnect = nullptr;
+  caller.mInterrupt = nullptr;
   co_return endpoint;
 }
 
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -656,6 +656,12 @@
   mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
 }
 
+auto ServingDaemon::EndRequests(TimePoint aAt) -> Task<>
+{
+  co_await SleepUntil(aAt);
+  mCallers.InterruptHandlers();
+}
+
 auto ServingDaemon::Drain() -> Task<>
 {
   const auto started = Clock::now();
@@ -667,6 +673,7 @@
            "draining",
            { { "active", absl::StrCat(mCallers.ActiveRequests()) } });
   mCallers.CloseAfterResponses();
+  Spawn(mLoop, EndRequests(*mState.mAnswerBy));
   co_await mJobs.Drain(started + kResultFlushTime);
   // A named object, because g++ 12 destroys a braced argument of an awaited
   // call twice.
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -95,6 +95,8 @@
   auto UseSettings() -> void;
   auto WaitForSignals() -> Task<>;
   auto Drain() -> Task<>;
+  // Answers at aAt all online requests that are still in progress.
+  auto EndRequests(TimePoint aAt) -> Task<>;
 
   asio::io_context& mLoop;
   ServingSettings mSettings;
