Bound calls about jobs whatever time their callers ask for

Callers saw: a long poll with Wait-Ms 30000 at a host whose peer owns the job and is silent was held for 31.5 s. A stop in that time ends it unanswered.

Cause: the same class as the late requests at a stop. A stopping host takes a call about a job if LongestCall() fits, but the wait of a call to another host was what the caller had asked for, and a repeated call could begin up to 60 ms after the time for finding the owner.

Change: the wait is clamped where the call enters, and no call begins after that time, so that LongestCall() is a bound.

Evidence: "a call about a job is bounded while the owner is silent" failed on (no answer within 8 s) and passes now.

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -365,7 +365,7 @@
     const auto shouldRetry = reply.mOutcome == JobOutcome::NotOwner ||
                              (reply.mOutcome == JobOutcome::Unknown &&
                               MayRetry(aJobRequest.mOperation));
-    if (!shouldRetry || Clock::now() >= deadline) {
+    if (!shouldRetry || Clock::now() + kOwnerPollInterval > deadline) {
       break;
     }
     co_await SleepUntil(Clock::now() + kOwnerPollInterval);
@@ -505,7 +505,8 @@
   jobRequest.mQuery.job = aCall.mJob;
   jobRequest.mQuery.item = aCall.mItem;
   jobRequest.mQuery.after = aCall.mAfter;
-  jobRequest.mQuery.wait_ms = static_cast<std::uint32_t>(aCall.mWait.count());
+  const auto wait = std::clamp(aCall.mWait, milliseconds(0), kMaxWait);
+  jobRequest.mQuery.wait_ms = static_cast<std::uint32_t>(wait.count());
   const auto reply = co_await RouteRequest(std::move(jobRequest));
   if (reply.mOutcome != JobOutcome::Done) {
     LogEvent(Severity::Info,
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -73,7 +73,8 @@
   // progress of the items until the process ends.
   auto Drain(TimePoint aUntil) -> Task<>;
 
-  // Longest time from a caller's request to its response.
+  // Bound of the time from a caller's request to its response, whatever the
+  // request asks for and the owner of its job does.
   auto LongestCall() const -> Duration;
 
   JobServicePolicy mPolicy;
