Relay: an endpoint that has just sent bytes may be silent

Callers saw streams that ran at two endpoints at once for about a second while sound endpoints were silent in turn for 1.2 s.

An endpoint that had sent bytes to any request in the last 300 ms counted as alive, and an overdue attempt there was abandoned. The bytes may be the last ones before a silence: the endpoint then does not notice the end of the connection. Or they are the first ones after it, and the endpoint is about to go on with this attempt too.

Now an endpoint counts as serving others only if it has sent bytes to this host for as long as the attempt may be silent, without a pause of over 300 ms, and again since the attempt was overdue and in the last 100 ms. The rule is a pure function in routing/endpoint_activity. attempt_abandoned logs what it saw.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -558,7 +558,7 @@
       NoteError(aRun, bytes.error());
       co_return RecordFailure(aRun, bytes.error().message());
     }
-    aRun.mEndpoint->mHeardAt = Clock::now();
+    NoteBytes(aRun.mEndpoint->mActivity, Clock::now());
     auto events = SplitEvents(splitter, *bytes);
     if (!aRun.mAnswerBegun &&
         std::any_of(events.begin(), events.end(), IsProgress)) {
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -78,12 +78,9 @@
   TimePoint mAttemptAt{};             // start of the current attempt
   std::uint64_t mEventsBefore = 0;    // mForwardedEvents at that time
   bool mAnswerBegun = false;          // by the endpoint, in this attempt
-  // If the endpoint of this attempt sends nothing until then, it is failing,
-  // and the attempt is to be abandoned.
-  TimePoint mFailingAt{};
-  TimePoint mAbandonAt{};
-  bool mFailing = false;    // recorded for the current silence
-  bool mForwarding = false; // it is the caller that is awaited
+  AttemptSilence mSilence;            // of this attempt
+  bool mFailing = false;              // recorded for the current silence
+  bool mForwarding = false;           // it is the caller that is awaited
   // When the endpoint ended the connection before it had begun to answer.
   std::optional<TimePoint> mLostAt;
   std::string mEndpoint; // id of the last endpoint, for the log
@@ -562,8 +559,9 @@
 auto RelayedRequest::NoteProgress(Duration aTimeout) -> void
 {
   const auto now = Clock::now();
-  mContext.mFailingAt = now + aTimeout;
-  mContext.mAbandonAt = now + std::max(aTimeout, MaxSilence());
+  mContext.mSilence.mBegunAt = now;
+  mContext.mSilence.mFailingAt = now + aTimeout;
+  mContext.mSilence.mAbandonAt = now + std::max(aTimeout, MaxSilence());
   mContext.mFailing = false;
 }
 
@@ -574,13 +572,13 @@
   if (mContext.mForwarding) {
     NoteProgress(GapTimeout());
   }
-  if (now < mContext.mFailingAt) {
-    return mContext.mFailingAt;
+  if (now < mContext.mSilence.mFailingAt) {
+    return mContext.mSilence.mFailingAt;
   }
   auto tried = mContext.mTried;
   tried.push_back(aEndpoint.mRegistration.mId);
   if (!HasFreeSlot(mState, mContext.mService, tried)) {
-    return now + mPolicy.mFreeSlotCheckInterval;
+    return now + mPolicy.mSilenceCheckInterval;
   }
   if (!mContext.mFailing) {
     mContext.mFailing = true;
@@ -590,12 +588,22 @@
                { "endpoint", aEndpoint.mRegistration.mId } });
     RecordExchange(mState, aEndpoint, ExchangeResult::Failed);
   }
-  // An endpoint that answers other requests notices the end of this one.
-  const auto alive = aEndpoint.mHeardAt + mPolicy.mAliveAfterBytes > now;
-  return alive || now >= mContext.mAbandonAt
-           ? std::nullopt
-           : std::optional(std::min(now + mPolicy.mFreeSlotCheckInterval,
-                                    mContext.mAbandonAt));
+  const auto& activity = aEndpoint.mActivity;
+  const auto servesOthers = ServesOnlyOthers(
+    activity, mContext.mSilence, now - mPolicy.mSilenceCheckInterval);
+  const auto abandonAt = mContext.mSilence.mAbandonAt;
+  if (!servesOthers && now < abandonAt) {
+    return std::min(now + mPolicy.mSilenceCheckInterval, abandonAt);
+  }
+  LogEvent(Severity::Info,
+           "attempt_abandoned",
+           { { "id", mContext.mMetadata.mId },
+             { "endpoint", aEndpoint.mRegistration.mId },
+             { "serves_others", servesOthers ? "1" : "0" },
+             { "silent_ms", Millis(now - mContext.mSilence.mBegunAt) },
+             { "active_ms", Millis(activity.mLastAt - activity.mSince) },
+             { "last_bytes_ms", Millis(now - activity.mLastAt) } });
+  return std::nullopt;
 }
 
 auto RelayedRequest::WatchSilence(Endpoint& aEndpoint,
@@ -609,7 +617,7 @@
   NoteProgress(aTimeout);
   return std::make_unique<ConditionalTimeout>(
     mState.mLoop,
-    mContext.mFailingAt,
+    mContext.mSilence.mFailingAt,
     [this, &aEndpoint] { return CheckSilence(aEndpoint); },
     [&aConnection] { aConnection.mStream.close(); });
 }
@@ -625,8 +633,9 @@
     if (mContext.mCaller->Disconnected()) {
       co_return StepResult::Done;
     }
-    aEndpoint.mHeardAt = error ? aEndpoint.mHeardAt : Clock::now();
-    if (error) {
+    if (!error) {
+      NoteBytes(aEndpoint.mActivity, Clock::now());
+    } else {
       NoteError(error);
       // The endpoint may have closed a reused connection before it received the
       // request.
@@ -725,7 +734,7 @@
   limits.mMaxBytes = kMaxAnswerBytes;
   limits.mBudgeted = &bytes;
   limits.mOnProgress = [this, &aEndpoint] {
-    aEndpoint.mHeardAt = Clock::now();
+    NoteBytes(aEndpoint.mActivity, Clock::now());
     NoteProgress(GapTimeout());
   };
   const auto error =
@@ -768,7 +777,7 @@
       NoteFailure(aEndpoint, absl::StrCat("stream: ", bytes.error().message()));
       co_return StepResult::Failed;
     }
-    aEndpoint.mHeardAt = Clock::now();
+    NoteBytes(aEndpoint.mActivity, Clock::now());
     auto events = SplitEvents(splitter, *bytes);
     if (!mContext.mAnswerBegun &&
         std::any_of(events.begin(), events.end(), IsProgress)) {
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -53,11 +53,9 @@
   // is closed, and then goes on.
   double mMaxSilenceShare = 0.625;
   Duration mMaxSilence = std::chrono::milliseconds(1400);
-  // An endpoint that has sent bytes to this host in the last mAliveAfterBytes
-  // is not silent; an attempt there is abandoned once the endpoint is failing.
-  Duration mAliveAfterBytes = std::chrono::milliseconds(300);
-  // Interval between checks for a slot at another endpoint after that.
-  Duration mFreeSlotCheckInterval = std::chrono::milliseconds(100);
+  // Interval between checks of the endpoint, and for a slot at another one,
+  // once it is failing.
+  Duration mSilenceCheckInterval = std::chrono::milliseconds(100);
   Duration mConnectTimeout = std::chrono::milliseconds(400);
   // Connections that have been idle for longer are not used for requests that
   // must not run twice: the endpoint may be about to close them, and after a
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -16,6 +16,7 @@
 #include "mangovalve/loop/http_client.h"
 #include "mangovalve/loop/wakeup.h"
 #include "mangovalve/routing/crash_suspects.h"
+#include "mangovalve/routing/endpoint_activity.h"
 #include "mangovalve/routing/endpoint_limit.h"
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
@@ -57,7 +58,7 @@
   Health mHealth;
   EndpointStatementsPtr mStatements = std::make_shared<EndpointStatements>();
   InFlight mOwnInFlight;
-  TimePoint mHeardAt{}; // last bytes that it sent in any exchange
+  EndpointActivity mActivity;
   // Requests that the endpoint reported beyond those that the daemons' reports
   // account for, and when it reported them. The value decays with time.
   double mUnaccountedLoad = 0;
