Relay: two silences of an endpoint are not one long silence

A request was sent to another endpoint while the one before, silent for the second time or silent after a long start, would have gone on with it.

The 1.4 s after which an attempt is abandoned were counted from its own last progress, not from the last bytes of the endpoint, although the policy speaks of the silence of the whole endpoint.

They are now counted from the last bytes that the endpoint sent to any request of this host. Bytes to others extend the attempt only up to 2.8 s, or 4/5 of the time for which the caller waits. An endpoint that has sent nothing since the attempt began is left as soon as before.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -187,6 +187,8 @@
   auto MayRetryAfterRun() const -> bool;
   auto FirstByteTimeout() const -> Duration;
   auto GapTimeout() const -> Duration;
+  // Silence of an endpoint for which the caller waits.
+  auto Patience() const -> Duration;
   // Longest silence of an endpoint before another one gets the request.
   auto MaxSilence() const -> Duration;
   // When that silence ends, if it begins now. Equals the request's own deadline
@@ -329,14 +331,18 @@
     Scaled(mContext.mRoute->mInterEventObjective, mPolicy.mGapObjectives));
 }
 
-auto RelayedRequest::MaxSilence() const -> Duration
+auto RelayedRequest::Patience() const -> Duration
 {
   const auto& route = *mContext.mRoute;
   const auto timeout =
     mContext.mMetadata.mCallerTimeout.value_or(route.mTimeout);
-  const auto patience = std::min(route.mCallerPatience, timeout);
+  return std::min(route.mCallerPatience, timeout);
+}
+
+auto RelayedRequest::MaxSilence() const -> Duration
+{
   return std::min(mPolicy.mMaxSilence,
-                  Scaled(patience, mPolicy.mMaxSilenceShare));
+                  Scaled(Patience(), mPolicy.mMaxSilenceShare));
 }
 
 auto RelayedRequest::SilenceDeadline() const -> TimePoint
@@ -559,9 +565,14 @@
 auto RelayedRequest::NoteProgress(Duration aTimeout) -> void
 {
   const auto now = Clock::now();
-  mContext.mSilence.mBegunAt = now;
-  mContext.mSilence.mFailingAt = now + aTimeout;
-  mContext.mSilence.mAbandonAt = now + std::max(aTimeout, MaxSilence());
+  auto& silence = mContext.mSilence;
+  silence.mBegunAt = now;
+  silence.mFailingAt = now + aTimeout;
+  silence.mAbandonAt = now + std::max(aTimeout, MaxSilence());
+  silence.mLastAbandonAt =
+    std::max(silence.mAbandonAt,
+             now + std::min(mPolicy.mMaxStall,
+                            Scaled(Patience(), mPolicy.mMaxStallShare)));
   mContext.mFailing = false;
 }
 
@@ -591,7 +602,7 @@
   const auto& activity = aEndpoint.mActivity;
   const auto servesOthers = ServesOnlyOthers(
     activity, mContext.mSilence, now - mPolicy.mSilenceCheckInterval);
-  const auto abandonAt = mContext.mSilence.mAbandonAt;
+  const auto abandonAt = AbandonAt(activity, mContext.mSilence);
   if (!servesOthers && now < abandonAt) {
     return std::min(now + mPolicy.mSilenceCheckInterval, abandonAt);
   }
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -53,6 +53,10 @@
   // is closed, and then goes on.
   double mMaxSilenceShare = 0.625;
   Duration mMaxSilence = std::chrono::milliseconds(1400);
+  // The same for the silence of the attempt, while the endpoint sends bytes to
+  // other requests now and then.
+  double mMaxStallShare = 0.8;
+  Duration mMaxStall = std::chrono::milliseconds(2800);
   // Interval between checks of the endpoint, and for a slot at another one,
   // once it is failing.
   Duration mSilenceCheckInterval = std::chrono::milliseconds(100);
--- a/mangovalve/routing/endpoint_activity.cc
+++ b/mangovalve/routing/endpoint_activity.cc
@@ -23,4 +23,12 @@
            aSilence.mFailingAt - aSilence.mBegunAt;
 }
 
+auto AbandonAt(const EndpointActivity& aActivity,
+               const AttemptSilence& aSilence) -> TimePoint
+{
+  const auto silentSince = std::max(aActivity.mLastAt, aSilence.mBegunAt);
+  return std::min(aSilence.mAbandonAt + (silentSince - aSilence.mBegunAt),
+                  aSilence.mLastAbandonAt);
+}
+
 } // namespace mangovalve
--- a/mangovalve/routing/endpoint_activity.h
+++ b/mangovalve/routing/endpoint_activity.h
@@ -31,7 +31,10 @@
 {
   TimePoint mBegunAt{};   // last progress of the attempt
   TimePoint mFailingAt{}; // when progress is overdue; at least mBegunAt
-  TimePoint mAbandonAt{}; // at least mFailingAt
+  // When the attempt is abandoned if the endpoint has sent no bytes to other
+  // requests since mBegunAt, and if it has; at least mFailingAt.
+  TimePoint mAbandonAt{};
+  TimePoint mLastAbandonAt{}; // at least mAbandonAt
 };
 
 // Notes that the endpoint has sent bytes.
@@ -45,4 +48,9 @@
                       const AttemptSilence& aSilence,
                       TimePoint aRecent) -> bool;
 
+// When the attempt is abandoned if the endpoint sends nothing more to any
+// request. Each silence of the endpoint counts by itself, until mLastAbandonAt.
+auto AbandonAt(const EndpointActivity& aActivity,
+               const AttemptSilence& aSilence) -> TimePoint;
+
 } // namespace mangovalve
--- a/mangovalve/routing/endpoint_activity_test.cc
+++ b/mangovalve/routing/endpoint_activity_test.cc
@@ -22,10 +22,10 @@
   }
 }
 
-// Begun at 0, overdue at 600, abandoned at 1400.
+// Begun at 0, overdue at 600, abandoned at 1400 or at last at 2800.
 auto SilenceFromZero() -> AttemptSilence
 {
-  return { At(0), At(600), At(1400) };
+  return { At(0), At(600), At(1400), At(2800) };
 }
 
 auto ServesOnlyOthersAt(const EndpointActivity& aActivity, int aNow) -> bool
@@ -79,5 +79,22 @@
   CHECK_FALSE(ServesOnlyOthersAt(activity, 850));
 }
 
+TEST_CASE("an attempt is abandoned after a silence of its whole endpoint")
+{
+  // Guards against several silences, or a silence after a long start, that are
+  // taken for a single long one, and against an endpoint that is never left.
+  const auto silence = SilenceFromZero();
+  EndpointActivity activity;
+  CHECK(AbandonAt(activity, silence) == At(1400));
+  SendBytes(activity, -1000, 0);
+  CHECK(AbandonAt(activity, silence) == At(1400));
+  SendBytes(activity, 50, 500);
+  CHECK(AbandonAt(activity, silence) == At(1900));
+  NoteBytes(activity, At(1300));
+  CHECK(AbandonAt(activity, silence) == At(2700));
+  NoteBytes(activity, At(2600));
+  CHECK(AbandonAt(activity, silence) == At(2800));
+}
+
 } // namespace
 } // namespace mangovalve
