Batch: ages of items by a time that owners carry on, not by wall clocks

Callers saw items given up before maxQueueS when a partition moved to a host whose clock is ahead of the former owner's, or much too late when it is behind.

Cause: the owner stamped a job with its wall time, and the next owner compared that with its own. The same difference decided the deadline of runs, the order by due time and the removal of old jobs.

A partition now has a time of its own (job_clock.h): its owner advances it by the monotonic clock and stores it with each append, and every 5 s while items are open; the next owner continues from the latest of the stored time, the time handed over by the former owner and the newest job. It may lag, but is never ahead. job_service.cc changes only where it stamped, compared or handed over.

--- a/mangovalve/base/time.h
+++ b/mangovalve/base/time.h
@@ -28,6 +28,16 @@
                   std::chrono::nanoseconds(time.tv_nsec));
 }
 
+// The wall clock. It differs between hosts and may be set forward or back, so
+// it decides nothing that has to be exact.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+inline auto WallNow() -> WallTime
+{
+  return std::chrono::floor<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
+}
+
 // Append time that the platform's log gave a record, since the Unix epoch.
 // Only log time may decide anything during replay.
 using LogTime = std::chrono::sys_time<std::chrono::milliseconds>;
--- a/mangovalve/batch/item_run_time.cc
+++ b/mangovalve/batch/item_run_time.cc
@@ -51,11 +51,11 @@
 
 auto TimelinessOf(const RunTimeEstimate& aEstimate,
                   std::uint32_t aReceived,
-                  WallTime aDue,
-                  WallTime aNow) -> Timeliness
+                  TimePoint aDue,
+                  TimePoint aNow) -> Timeliness
 {
-  const auto slack = Duration(aDue - aNow) - kPublishDelay -
-                     RemainingRunTime(aEstimate, aReceived);
+  const auto slack =
+    aDue - aNow - kPublishDelay - RemainingRunTime(aEstimate, aReceived);
   if (slack < Duration::zero()) {
     return Timeliness::Late;
   }
--- a/mangovalve/batch/item_run_time.h
+++ b/mangovalve/batch/item_run_time.h
@@ -15,8 +15,6 @@
 
 namespace mangovalve {
 
-using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
-
 // Decayed means over finished runs; 0 before the first run.
 struct RunTimeEstimate
 {
@@ -48,7 +46,7 @@
 
 auto TimelinessOf(const RunTimeEstimate& aEstimate,
                   std::uint32_t aReceived,
-                  WallTime aDue,
-                  WallTime aNow) -> Timeliness;
+                  TimePoint aDue,
+                  TimePoint aNow) -> Timeliness;
 
 } // namespace mangovalve
--- a/mangovalve/batch/item_run_time_test.cc
+++ b/mangovalve/batch/item_run_time_test.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr WallTime kStart{ seconds(1000) };
+constexpr TimePoint kStart{ seconds(1000) };
 
 // Items of 160 events at 25 ms, which is 4 s per run.
 auto Estimate() -> RunTimeEstimate
@@ -74,7 +74,9 @@
     job.id = aId;
     job.host = "h";
     job.path = "/b/x";
-    job.submitted_ms = (kStart + aAfter).time_since_epoch().count();
+    job.submitted_ms =
+      std::chrono::floor<milliseconds>(kStart.time_since_epoch() + aAfter)
+        .count();
     for (std::size_t i = 0; i < aItems; ++i) {
       auto item = std::make_unique<wire::JobItemT>();
       item->path = "/b/1";
@@ -88,7 +90,7 @@
   auto Run(std::size_t aSlots, seconds aLength) -> void
   {
     constexpr auto kRun = seconds(4);
-    std::vector<std::pair<WallTime, RunnableItem>> running;
+    std::vector<std::pair<TimePoint, RunnableItem>> running;
     for (auto now = kStart; now < kStart + aLength; now += seconds(1)) {
       std::erase_if(running, [&](const auto& aRun) {
         const auto ended = aRun.first <= now;
@@ -97,11 +99,11 @@
         }
         return ended;
       });
-      const SchedulingInput input{ TimePoint(seconds(9)), now, Estimate() };
+      const SchedulingInput input{ now, Estimate() };
       auto items =
         RunnableItems(mTable, mDocument, "llm", aSlots - running.size(), input);
       std::erase_if(items, [&](const RunnableItem& aItem) {
-        return aItem.mJob->mSubmittedAt > now;
+        return aItem.mJob->mSubmittedAt > JobNow(mTable.mClock, now);
       });
       for (auto& item : items) {
         auto& entry = item.mJob->mItems[item.mIndex];
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -33,15 +33,17 @@
 
 // Deadline of a run that starts now.
 auto RunDeadline(const ServingDocument& aDocument,
-                 const SubmittedJob& aJob,
-                 const BatchItem& aItem,
+                 const JobClock& aClock,
+                 const RunnableItem& aItem,
                  TimePoint aNow) -> TimePoint
 {
-  const auto* route = FindRoute(aDocument, aJob.mHost, aItem.mSubmitted.path);
+  const auto& job = *aItem.mJob;
+  const auto& path = job.mItems[aItem.mIndex].mSubmitted.path;
+  const auto* route = FindRoute(aDocument, job.mHost, path);
   if (route == nullptr || route->mAbandonAfter.count() == 0) {
     return aNow + kMaxRunTime;
   }
-  return aNow + (aJob.mSubmittedAt + route->mAbandonAfter - WallNow());
+  return LocalTime(aClock, job.mSubmittedAt + route->mAbandonAfter);
 }
 
 // Appends the data of the events that follow those received before, up to the
@@ -70,19 +72,13 @@
 
 } // namespace
 
-auto WallNow() -> WallTime
-{
-  return std::chrono::floor<std::chrono::milliseconds>(
-    std::chrono::system_clock::now());
-}
-
 auto ItemRunner::Run() -> Task<>
 {
   for (;;) {
     const auto now = Clock::now();
     Yield(now);
     if (!mPaused) {
-      AbandonItems();
+      AbandonItems(now);
       StartItems(now);
     }
     co_await SleepUntil(now + mPolicy.mInterval);
@@ -101,7 +97,7 @@
     RunningItemPtr mRun;
   };
   std::vector<Candidate> candidates;
-  const auto now = WallNow();
+  const auto now = Clock::now();
   for (const auto& run : mRunning) {
     if (run->mEndpoint != aEndpoint || run->mStopped) {
       continue;
@@ -202,14 +198,14 @@
   }
 }
 
-auto ItemRunner::AbandonItems() -> void
+auto ItemRunner::AbandonItems(TimePoint aNow) -> void
 {
   if (!mState.mDocument) {
     return;
   }
   for (const auto& partition : mPorts.mPartitions()) {
     const auto items =
-      AbandonedItems(partition->Jobs(), *mState.mDocument, WallNow());
+      AbandonedItems(partition->Jobs(), *mState.mDocument, aNow);
     for (const auto& item : items) {
       LogEvent(Severity::Info,
                "item_abandoned",
@@ -269,7 +265,7 @@
                               TimePoint aNow) -> void
 {
   std::vector<std::pair<RunnableItem, JobPartitionPtr>> items;
-  const SchedulingInput input{ aNow, WallNow(), mEstimate };
+  const SchedulingInput input{ aNow, mEstimate };
   std::size_t late = 0;
   for (const auto& partition : mPorts.mPartitions()) {
     for (auto& item : NextItems(partition, aService, input)) {
@@ -309,10 +305,8 @@
     run->mItem = items[i].first;
     run->mEndpoint = aPool.mEndpoints[*place];
     run->mStartedAt = aNow;
-    run->mDeadline = RunDeadline(*mState.mDocument,
-                                 *run->mItem.mJob,
-                                 run->mItem.mJob->mItems[run->mItem.mIndex],
-                                 aNow);
+    run->mDeadline = RunDeadline(
+      *mState.mDocument, run->mPartition->Jobs().mClock, run->mItem, aNow);
     run->mItem.mJob->mItems[run->mItem.mIndex].mRunning = true;
     mRunning.push_back(run);
     Spawn(mState.mLoop, RunOne(run));
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -100,7 +100,7 @@
   auto StartItemsOf(const std::string& aService,
                     ServicePool& aPool,
                     TimePoint aNow) -> void;
-  auto AbandonItems() -> void;
+  auto AbandonItems(TimePoint aNow) -> void;
   auto RunOne(RunningItemPtr aRun) -> Task<>;
   auto Exchange(RunningItemPtr aRun) -> Task<RunOutcome>;
   auto ReadEvents(RunningItem& aRun,
@@ -139,7 +139,4 @@
   TimePoint mNextLoadLog{}; // of batch_load
 };
 
-// The wall clock, for times that are compared across daemons.
-auto WallNow() -> WallTime;
-
 } // namespace mangovalve
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -16,6 +16,10 @@
 constexpr auto kCallTimeout = std::chrono::milliseconds(1500);
 constexpr auto kRetryDelay = std::chrono::milliseconds(100);
 
+// Longest time between two records of the partition's time while items are
+// open: what a next owner may lose of their age if this one dies.
+constexpr auto kClockInterval = std::chrono::seconds(5);
+
 // Bytes of records in one append. A larger append blocks the partition and all
 // appends queued behind it for too long.
 constexpr std::size_t kMaxBytesPerAppend = 512UL << 10U;
@@ -61,6 +65,7 @@
   , mPartition(aPartition)
   , mGeneration(aGeneration)
   , mToken(FenceToken(aGeneration, aStartedAt))
+  , mFirstTime(aStartedAt.time_since_epoch())
   , mFetchProgress(std::move(aFetchProgress))
   , mQueued(aLoop)
 {
@@ -146,7 +151,7 @@
     co_return;
   }
   const auto page = co_await mFetchProgress(mPartition, mGeneration);
-  auto imported = ApplyProgress(mTable, page);
+  auto imported = ApplyProgress(mTable, page, Clock::now());
   for (auto& item : imported.mCompleted) {
     auto& output = item.mJob->mItems[item.mIndex].mOutput;
     Finish(item.mJob, item.mIndex, true, std::move(output));
@@ -176,7 +181,7 @@
               page->mRecords.end(),
               std::back_inserter(records));
   }
-  mTable = LoadJobs(records);
+  mTable = LoadJobs(records, mFirstTime, Clock::now());
   co_return true;
 }
 
@@ -260,6 +265,8 @@
     records.insert(
       records.end(), append.mRecords.begin(), append.mRecords.end());
   }
+  mClockRecordedAt = Clock::now();
+  records.push_back(ClockRecord(mTable.mClock, mClockRecordedAt));
   const auto result = co_await AppendUntilDecided(records);
   if (result == AppendResult::Stopped) {
     co_return false;
@@ -303,12 +310,19 @@
   return true;
 }
 
+auto JobPartition::NextClockRecord() const -> TimePoint
+{
+  return HasOpenItems(mTable) ? mClockRecordedAt + kClockInterval
+                              : TimePoint::max();
+}
+
 auto JobPartition::AppendQueued() -> Task<>
 {
   while (!mStopped) {
     auto appends = DequeueBatch();
-    if (appends.empty()) {
-      co_await mQueued.WaitUntil(TimePoint::max());
+    const auto clockDue = NextClockRecord();
+    if (appends.empty() && Clock::now() < clockDue) {
+      co_await mQueued.WaitUntil(clockDue);
       continue;
     }
     mAppending = true;
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -3,8 +3,9 @@
 // The store's group assigns a partition to one daemon at a time, and a fence
 // rejects the appends of former owners. The owner loads the partition's records
 // and is then the only writer of jobs and results, so each result has exactly
-// one position. A job is accepted, a result is published and the end of a job
-// is confirmed only after their records are durable.
+// one position. Each append carries the partition's time (job_clock.h). A job
+// is accepted, a result is published and the end of a job is confirmed only
+// after their records are durable.
 //
 // While the store is unavailable, pending appends are retried with the same
 // sequence number, and new jobs are refused without an attempt to append them.
@@ -57,6 +58,7 @@
   // Whether the store answered the last call.
   auto StoreReachable() const -> bool { return mStoreReachable; }
   auto Jobs() -> JobTable& { return mTable; }
+  auto Now() const -> JobTime { return JobNow(mTable.mClock, Clock::now()); }
 
   // Accepts a job; a job with a known team and id is not added again. aLimit:
   // tokens that the team may have queued on the route, 0 for no limit; aQueued:
@@ -124,6 +126,8 @@
   auto AppendBatch(std::vector<PendingAppend> aAppends) -> Task<bool>;
   auto HandleRejection(Change& aChange) -> bool;
   auto DequeueBatch() -> std::vector<PendingAppend>;
+  // When the partition's time has to be stored even without other records.
+  auto NextClockRecord() const -> TimePoint;
   // Bytes of records in one append.
   auto BytesPerAppend() const -> std::size_t;
   auto Enqueue(std::vector<KeyedRecord> aRecords,
@@ -140,6 +144,8 @@
   std::uint32_t mPartition;
   std::uint64_t mGeneration;
   std::uint64_t mToken; // fencing token, see FenceToken
+  JobTime mFirstTime;   // of the partition if the store knows none
+  TimePoint mClockRecordedAt{};
   std::uint64_t mSequence = 0;
   JobTable mTable;
   bool mLoaded = false;
--- a/mangovalve/batch/job_records_generated.h
+++ b/mangovalve/batch/job_records_generated.h
@@ -55,6 +55,10 @@
 struct ProgressPageBuilder;
 struct ProgressPageT;
 
+struct ClockReading;
+struct ClockReadingBuilder;
+struct ClockReadingT;
+
 struct HeaderFieldT : public flatbuffers::NativeTable
 {
   typedef HeaderField TableType;
@@ -1325,6 +1329,7 @@
 {
   typedef ProgressPage TableType;
   std::vector<std::unique_ptr<mangovalve::wire::ItemProgressT>> items{};
+  int64_t clock_ms = 0;
   ProgressPageT() = default;
   ProgressPageT(const ProgressPageT& o);
   ProgressPageT(ProgressPageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1338,7 +1343,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE
   {
-    VT_ITEMS = 4
+    VT_ITEMS = 4,
+    VT_CLOCK_MS = 6
   };
   const flatbuffers::Vector<
     flatbuffers::Offset<mangovalve::wire::ItemProgress>>*
@@ -1347,11 +1353,14 @@
     return GetPointer<const flatbuffers::Vector<
       flatbuffers::Offset<mangovalve::wire::ItemProgress>>*>(VT_ITEMS);
   }
+  int64_t clock_ms() const { return GetField<int64_t>(VT_CLOCK_MS, 0); }
   bool Verify(flatbuffers::Verifier& verifier) const
   {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
-           verifier.VerifyVectorOfTables(items()) && verifier.EndTable();
+           verifier.VerifyVectorOfTables(items()) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           verifier.EndTable();
   }
   ProgressPageT* UnPack(
     const flatbuffers::resolver_function_t* _resolver = nullptr) const;
@@ -1374,6 +1383,10 @@
   {
     fbb_.AddOffset(ProgressPage::VT_ITEMS, items);
   }
+  void add_clock_ms(int64_t clock_ms)
+  {
+    fbb_.AddElement<int64_t>(ProgressPage::VT_CLOCK_MS, clock_ms, 0);
+  }
   explicit ProgressPageBuilder(flatbuffers::FlatBufferBuilder& _fbb)
     : fbb_(_fbb)
   {
@@ -1390,9 +1403,11 @@
 inline flatbuffers::Offset<ProgressPage> CreateProgressPage(
   flatbuffers::FlatBufferBuilder& _fbb,
   flatbuffers::Offset<flatbuffers::Vector<
-    flatbuffers::Offset<mangovalve::wire::ItemProgress>>> items = 0)
+    flatbuffers::Offset<mangovalve::wire::ItemProgress>>> items = 0,
+  int64_t clock_ms = 0)
 {
   ProgressPageBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
   builder_.add_items(items);
   return builder_.Finish();
 }
@@ -1406,14 +1421,15 @@
 inline flatbuffers::Offset<ProgressPage> CreateProgressPageDirect(
   flatbuffers::FlatBufferBuilder& _fbb,
   const std::vector<flatbuffers::Offset<mangovalve::wire::ItemProgress>>*
-    items = nullptr)
+    items = nullptr,
+  int64_t clock_ms = 0)
 {
   auto items__ =
     items
       ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::ItemProgress>>(
           *items)
       : 0;
-  return mangovalve::wire::CreateProgressPage(_fbb, items__);
+  return mangovalve::wire::CreateProgressPage(_fbb, items__, clock_ms);
 }
 
 flatbuffers::Offset<ProgressPage> CreateProgressPage(
@@ -1421,6 +1437,81 @@
   const ProgressPageT* _o,
   const flatbuffers::rehasher_function_t* _rehasher = nullptr);
 
+struct ClockReadingT : public flatbuffers::NativeTable
+{
+  typedef ClockReading TableType;
+  int64_t clock_ms = 0;
+};
+
+struct ClockReading FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table
+{
+  typedef ClockReadingT NativeTableType;
+  typedef ClockReadingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE
+  {
+    VT_CLOCK_MS = 4
+  };
+  int64_t clock_ms() const { return GetField<int64_t>(VT_CLOCK_MS, 0); }
+  bool Verify(flatbuffers::Verifier& verifier) const
+  {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           verifier.EndTable();
+  }
+  ClockReadingT* UnPack(
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  void UnPackTo(
+    ClockReadingT* _o,
+    const flatbuffers::resolver_function_t* _resolver = nullptr) const;
+  static flatbuffers::Offset<ClockReading> Pack(
+    flatbuffers::FlatBufferBuilder& _fbb,
+    const ClockReadingT* _o,
+    const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+};
+
+struct ClockReadingBuilder
+{
+  typedef ClockReading Table;
+  flatbuffers::FlatBufferBuilder& fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_clock_ms(int64_t clock_ms)
+  {
+    fbb_.AddElement<int64_t>(ClockReading::VT_CLOCK_MS, clock_ms, 0);
+  }
+  explicit ClockReadingBuilder(flatbuffers::FlatBufferBuilder& _fbb)
+    : fbb_(_fbb)
+  {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClockReading> Finish()
+  {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClockReading>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClockReading> CreateClockReading(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  int64_t clock_ms = 0)
+{
+  ClockReadingBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
+  return builder_.Finish();
+}
+
+struct ClockReading::Traits
+{
+  using type = ClockReading;
+  static auto constexpr Create = CreateClockReading;
+};
+
+flatbuffers::Offset<ClockReading> CreateClockReading(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ClockReadingT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher = nullptr);
+
 inline HeaderFieldT* HeaderField::UnPack(
   const flatbuffers::resolver_function_t* _resolver) const
 {
@@ -2157,6 +2248,7 @@
 }
 
 inline ProgressPageT::ProgressPageT(const ProgressPageT& o)
+  : clock_ms(o.clock_ms)
 {
   items.reserve(o.items.size());
   for (const auto& items_ : o.items) {
@@ -2169,6 +2261,7 @@
   FLATBUFFERS_NOEXCEPT
 {
   std::swap(items, o.items);
+  std::swap(clock_ms, o.clock_ms);
   return *this;
 }
 
@@ -2196,6 +2289,10 @@
       }
     }
   }
+  {
+    auto _e = clock_ms();
+    _o->clock_ms = _e;
+  }
 }
 
 inline flatbuffers::Offset<ProgressPage> ProgressPage::Pack(
@@ -2230,7 +2327,54 @@
           },
           &_va)
       : 0;
-  return mangovalve::wire::CreateProgressPage(_fbb, _items);
+  auto _clock_ms = _o->clock_ms;
+  return mangovalve::wire::CreateProgressPage(_fbb, _items, _clock_ms);
+}
+
+inline ClockReadingT* ClockReading::UnPack(
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  auto _o = std::make_unique<ClockReadingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ClockReading::UnPackTo(
+  ClockReadingT* _o,
+  const flatbuffers::resolver_function_t* _resolver) const
+{
+  (void)_o;
+  (void)_resolver;
+  {
+    auto _e = clock_ms();
+    _o->clock_ms = _e;
+  }
+}
+
+inline flatbuffers::Offset<ClockReading> ClockReading::Pack(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ClockReadingT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  return CreateClockReading(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ClockReading> CreateClockReading(
+  flatbuffers::FlatBufferBuilder& _fbb,
+  const ClockReadingT* _o,
+  const flatbuffers::rehasher_function_t* _rehasher)
+{
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs
+  {
+    flatbuffers::FlatBufferBuilder* __fbb;
+    const ClockReadingT* __o;
+    const flatbuffers::rehasher_function_t* __rehasher;
+  } _va = { &_fbb, _o, _rehasher };
+  (void)_va;
+  auto _clock_ms = _o->clock_ms;
+  return mangovalve::wire::CreateClockReading(_fbb, _clock_ms);
 }
 
 inline const mangovalve::wire::Job* GetJob(const void* buf)
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -42,8 +42,8 @@
 constexpr auto kFlushPoll = milliseconds(10);
 constexpr auto kRemovalInterval = std::chrono::seconds(5);
 
-// Jobs are retained this much longer than promised, because the clocks of
-// daemons differ.
+// Jobs are retained this much longer than promised, because callers count from
+// the response to a submission.
 constexpr auto kRetentionMargin = std::chrono::seconds(30);
 
 auto VerbOf(std::string_view aPath) -> std::optional<JobOperation>
@@ -242,7 +242,8 @@
   const auto own = mFormer.find(aPartition);
   if (own != mFormer.end() &&
       (!former || former->mGeneration < own->second.mPartition->Generation())) {
-    co_return CollectProgress(own->second.mPartition->Jobs(), kProgressBytes);
+    co_return CollectProgress(
+      own->second.mPartition->Jobs(), kProgressBytes, Clock::now());
   }
   if (!former || former->mGeneration >= aGeneration) {
     co_return wire::ProgressPageT();
@@ -281,7 +282,8 @@
       former->second.mPartition->Generation() >= aQuery.generation) {
     return std::nullopt;
   }
-  return CollectProgress(former->second.mPartition->Jobs(), kProgressBytes);
+  return CollectProgress(
+    former->second.mPartition->Jobs(), kProgressBytes, Clock::now());
 }
 
 auto JobService::RemoveExpiredJobs() -> Task<>
@@ -293,7 +295,8 @@
       for (const auto& [key, job] : partition->Jobs().mJobs) {
         const auto retainUntil =
           job->mSubmittedAt + mPolicy.mKeepResults + kRetentionMargin;
-        if (job->mDurable && IsComplete(*job) && WallNow() > retainUntil) {
+        if (job->mDurable && IsComplete(*job) &&
+            partition->Now() > retainUntil) {
           old.push_back(job);
         }
       }
@@ -433,7 +436,7 @@
     reply.mOutcome = JobOutcome::NotApplied;
     co_return reply;
   }
-  aJob.submitted_ms = WallNow().time_since_epoch().count();
+  aJob.submitted_ms = aPartition->Now().time_since_epoch().count();
   const auto id = aJob.id;
   auto job = MakeJob(std::move(aJob));
   const auto queued =
--- a/mangovalve/batch/job_table.cc
+++ b/mangovalve/batch/job_table.cc
@@ -44,6 +44,8 @@
   return absl::StrFormat("r/%s/%u/%u", aJob, aPosition, aPiece);
 }
 
+constexpr auto kClockKey = "c";
+
 auto Pieces(std::size_t aSize, std::size_t aPiece) -> std::uint32_t
 {
   return static_cast<std::uint32_t>((aSize + aPiece - 1) / aPiece);
@@ -175,6 +177,27 @@
   return job;
 }
 
+// The clock as far as the records tell: no job is from the future.
+auto LoadClock(const JobTable& aTable,
+               const Records& aRecords,
+               JobTime aFirst,
+               TimePoint aNow) -> JobClock
+{
+  std::optional<JobTime> latest;
+  if (const auto found = aRecords.find(kClockKey); found != aRecords.end()) {
+    const auto* stored = VerifiedTable<wire::ClockReading>(*found->second);
+    if (stored != nullptr) {
+      latest = JobTime(std::chrono::milliseconds(stored->clock_ms()));
+    } else {
+      LogEvent(Severity::Error, "clock_record_unreadable");
+    }
+  }
+  for (const auto& [key, job] : aTable.mJobs) {
+    latest = std::max(latest, std::optional(job->mSubmittedAt));
+  }
+  return { latest.value_or(aFirst), aNow };
+}
+
 // Visits the unfinished items of durable jobs that have not been ended.
 template<typename Visit>
 auto ForEachOpenItem(const JobTable& aTable, const Visit& aVisit) -> void
@@ -216,7 +239,7 @@
   job->mHost = std::move(aSubmission.host);
   job->mPath = std::move(aSubmission.path);
   job->mSubmittedAt =
-    WallTime(std::chrono::milliseconds(aSubmission.submitted_ms));
+    JobTime(std::chrono::milliseconds(aSubmission.submitted_ms));
   job->mEnded = aSubmission.ended;
   for (auto& item : aSubmission.items) {
     BatchItem entry;
@@ -305,9 +328,9 @@
         !Allows(*route, aService)) {
       return;
     }
-    const auto due = aJob->mSubmittedAt + route->mDue;
+    const auto due = LocalTime(aTable.mClock, aJob->mSubmittedAt + route->mDue);
     const auto timeliness =
-      TimelinessOf(aInput.mEstimate, item.mEvents, due, aInput.mWallNow);
+      TimelinessOf(aInput.mEstimate, item.mEvents, due, aInput.mNow);
     items.push_back({ aJob, aIndex, due, timeliness == Timeliness::Late });
   };
   ForEachOpenItem(aTable, add);
@@ -322,8 +345,9 @@
 
 auto AbandonedItems(const JobTable& aTable,
                     const ServingDocument& aDocument,
-                    WallTime aWallNow) -> std::vector<RunnableItem>
+                    TimePoint aNow) -> std::vector<RunnableItem>
 {
+  const auto now = JobNow(aTable.mClock, aNow);
   std::vector<RunnableItem> items;
   ForEachOpenItem(
     aTable, [&](const SubmittedJobPtr& aJob, std::uint32_t aIndex) {
@@ -331,17 +355,27 @@
         FindRoute(aDocument, aJob->mHost, aJob->mItems[aIndex].mSubmitted.path);
       if (route == nullptr ||
           (route->mAbandonAfter.count() > 0 &&
-           aWallNow > aJob->mSubmittedAt + route->mAbandonAfter)) {
-        items.push_back({ aJob, aIndex, aWallNow, true });
+           now > aJob->mSubmittedAt + route->mAbandonAfter)) {
+        items.push_back({ aJob, aIndex, aNow, true });
       }
     });
   return items;
 }
 
-auto CollectProgress(const JobTable& aTable, std::size_t aMaxBytes)
-  -> wire::ProgressPageT
+auto HasOpenItems(const JobTable& aTable) -> bool
+{
+  return std::any_of(
+    aTable.mJobs.begin(), aTable.mJobs.end(), [](const auto& aEntry) {
+      return !IsComplete(*aEntry.second);
+    });
+}
+
+auto CollectProgress(const JobTable& aTable,
+                     std::size_t aMaxBytes,
+                     TimePoint aNow) -> wire::ProgressPageT
 {
   wire::ProgressPageT page;
+  page.clock_ms = JobNow(aTable.mClock, aNow).time_since_epoch().count();
   std::size_t bytes = 0;
   for (const auto& [key, job] : aTable.mJobs) {
     for (std::uint32_t i = 0; i < job->mItems.size() && !job->mEnded; ++i) {
@@ -369,9 +403,12 @@
   return page;
 }
 
-auto ApplyProgress(JobTable& aTable, const wire::ProgressPageT& aPage)
-  -> ImportedProgress
+auto ApplyProgress(JobTable& aTable,
+                   const wire::ProgressPageT& aPage,
+                   TimePoint aNow) -> ImportedProgress
 {
+  Advance(
+    aTable.mClock, JobTime(std::chrono::milliseconds(aPage.clock_ms)), aNow);
   ImportedProgress imported;
   for (const auto& progress : aPage.items) {
     const auto job = FindJob(aTable, progress->team, progress->job);
@@ -498,7 +535,16 @@
   return records;
 }
 
-auto LoadJobs(const std::vector<KeyedRecord>& aRecords) -> JobTable
+auto ClockRecord(const JobClock& aClock, TimePoint aNow) -> KeyedRecord
+{
+  wire::ClockReadingT reading;
+  reading.clock_ms = JobNow(aClock, aNow).time_since_epoch().count();
+  return { kClockKey, PackTable<wire::ClockReading>(reading), 0 };
+}
+
+auto LoadJobs(const std::vector<KeyedRecord>& aRecords,
+              JobTime aFirst,
+              TimePoint aNow) -> JobTable
 {
   Records records;
   for (const auto& record : aRecords) {
@@ -520,6 +566,7 @@
     LoadResults(*job, records);
     table.mJobs[{ job->mTeam, job->mId }] = job;
   }
+  table.mClock = LoadClock(table, records, aFirst, aNow);
   return table;
 }
 
--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -14,6 +14,7 @@
 
 #include "mangovalve/base/time.h"
 #include "mangovalve/batch/item_run_time.h"
+#include "mangovalve/batch/job_clock.h"
 #include "mangovalve/batch/job_records_generated.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/tables.h"
@@ -47,7 +48,7 @@
   std::string mId;
   std::string mHost;
   std::string mPath;
-  WallTime mSubmittedAt{};
+  JobTime mSubmittedAt{};
   bool mDurable = false;  // in the store; no item runs before that
   bool mRejected = false; // by the store; it never runs
   bool mEnded = false;    // ended by its caller
@@ -64,7 +65,8 @@
 struct JobTable
 {
   std::map<std::pair<std::string, std::string>, SubmittedJobPtr>
-    mJobs; // team, id
+    mJobs;         // team, id
+  JobClock mClock; // not before any job's mSubmittedAt
 };
 
 // Partition of a team's jobs. All jobs of a team are in one partition, so that
@@ -100,7 +102,7 @@
 {
   SubmittedJobPtr mJob;
   std::uint32_t mIndex = 0;
-  WallTime mDue;
+  TimePoint mDue;
   bool mLate = false; // cannot finish by mDue
 };
 
@@ -113,7 +115,6 @@
 struct SchedulingInput
 {
   TimePoint mNow;
-  WallTime mWallNow;
   RunTimeEstimate mEstimate;
 };
 
@@ -129,13 +130,17 @@
 // document, or the time after which they may be abandoned has passed.
 auto AbandonedItems(const JobTable& aTable,
                     const ServingDocument& aDocument,
-                    WallTime aWallNow) -> std::vector<RunnableItem>;
+                    TimePoint aNow) -> std::vector<RunnableItem>;
 
-// Handoff of a former owner to the next one: the events that its runs have
-// received, and results that are not in the store. Bounded to about aMaxBytes
-// of output.
-auto CollectProgress(const JobTable& aTable, std::size_t aMaxBytes)
-  -> wire::ProgressPageT;
+// Whether an unfinished item's age is needed later.
+auto HasOpenItems(const JobTable& aTable) -> bool;
+
+// Handoff of a former owner to the next one: the partition's time, the events
+// that its runs have received, and results that are not in the store. Bounded
+// to about aMaxBytes of output.
+auto CollectProgress(const JobTable& aTable,
+                     std::size_t aMaxBytes,
+                     TimePoint aNow) -> wire::ProgressPageT;
 
 struct ImportedProgress
 {
@@ -146,9 +151,10 @@
 
 // Merges the handoff of a former owner. Items that are finished or running here
 // are left as they are, and items with at least as many events keep their
-// output. The higher count of failures is kept.
-auto ApplyProgress(JobTable& aTable, const wire::ProgressPageT& aPage)
-  -> ImportedProgress;
+// output. The higher count of failures and the later time are kept.
+auto ApplyProgress(JobTable& aTable,
+                   const wire::ProgressPageT& aPage,
+                   TimePoint aNow) -> ImportedProgress;
 
 // Encoding of jobs as records of the store.
 
@@ -172,9 +178,16 @@
 auto TombstoneRecords(const SubmittedJob& aJob, std::size_t aMaxRecord)
   -> std::vector<KeyedRecord>;
 
+// The partition's time at aNow. Its next owner continues from the newest one of
+// these records.
+auto ClockRecord(const JobClock& aClock, TimePoint aNow) -> KeyedRecord;
+
 // Rebuilds the table from the newest record of each key. Records without a job
 // record, left by an incomplete submission, are ignored. Unreadable records and
-// jobs of which the items are missing are logged and skipped.
-auto LoadJobs(const std::vector<KeyedRecord>& aRecords) -> JobTable;
+// jobs of which the items are missing are logged and skipped. The partition's
+// time at aNow is the latest one in the records; without any it is aFirst.
+auto LoadJobs(const std::vector<KeyedRecord>& aRecords,
+              JobTime aFirst,
+              TimePoint aNow) -> JobTable;
 
 } // namespace mangovalve
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -14,9 +14,10 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kMaxRecord = 8192;
-constexpr WallTime kSubmitted{ seconds(1000) };
-constexpr TimePoint kNow{ std::chrono::hours(1) };
-constexpr SchedulingInput kClock{ kNow, kSubmitted, {} };
+constexpr JobTime kSubmitted{ seconds(1000) };
+// The clock of a table that was not loaded starts at 0, so this is kSubmitted.
+constexpr TimePoint kNow{ seconds(1000) };
+constexpr SchedulingInput kClock{ kNow, {} };
 
 auto Document() -> ServingDocument
 {
@@ -74,13 +75,13 @@
     }
   }
 
-  auto Load() const -> JobTable
+  auto Load(TimePoint aNow = kNow) const -> JobTable
   {
     std::vector<KeyedRecord> records;
     for (const auto& [key, value] : mValues) {
       records.push_back({ key, value, 0 });
     }
-    return LoadJobs(records);
+    return LoadJobs(records, kSubmitted, aNow);
   }
 };
 
@@ -253,7 +254,7 @@
   const auto items = RunnableItems(table, document, "llm", 10, kClock);
   REQUIRE(items.size() == 3);
   CHECK(items[0].mJob == early);
-  CHECK(items[0].mDue == kSubmitted + seconds(18));
+  CHECK(items[0].mDue == kNow + seconds(18));
   CHECK(RunnableItems(table, document, "llm", 1, kClock).size() == 1);
   CHECK(RunnableItems(table, document, "other", 10, kClock).empty());
   early->mItems[1].mNotBefore = kNow + seconds(1);
@@ -268,10 +269,64 @@
   job->mDurable = true;
   job->mItems[0].mFinished = true;
   table.mJobs[{ "team", "j" }] = job;
-  CHECK(AbandonedItems(table, document, kSubmitted + seconds(60)).empty());
-  CHECK(AbandonedItems(table, document, kSubmitted + seconds(61)).size() == 1);
+  CHECK(AbandonedItems(table, document, kNow + seconds(60)).empty());
+  CHECK(AbandonedItems(table, document, kNow + seconds(61)).size() == 1);
   document.mRoutes.clear();
-  CHECK(AbandonedItems(table, document, kSubmitted).size() == 1);
+  CHECK(AbandonedItems(table, document, kNow).size() == 1);
+}
+
+TEST_CASE("the age of an item is carried from owner to owner")
+{
+  // Guards against an owner that gives up items early since its clock is ahead
+  // of the former owner's, and against ages that begin anew with each owner.
+  const auto document = Document();
+  for (const auto offset : { seconds(-10), seconds(0), seconds(10) }) {
+    for (const auto handedOver : { false, true }) {
+      CAPTURE(offset.count());
+      CAPTURE(handedOver);
+      Newest store;
+      const auto job = Submission("j", 1);
+      store.Put(JobRecords(*job, kMaxRecord));
+      auto former = store.Load();
+      // The former owner had stored an age of 50 s when it stopped at 55 s.
+      store.Put({ ClockRecord(former.mClock, kNow + seconds(50)) });
+      const auto stopped = kNow + seconds(55);
+      auto next = store.Load(stopped + offset);
+      if (handedOver) {
+        ApplyProgress(
+          next, CollectProgress(former, 1000, stopped), stopped + offset);
+      }
+      const auto left = seconds(handedOver ? 5 : 10);
+      const auto abandoned = [&](milliseconds aAfter) {
+        const auto now = stopped + offset + aAfter;
+        return AbandonedItems(next, document, now).size();
+      };
+      CHECK(abandoned(left) == 0);
+      CHECK(abandoned(left + milliseconds(1)) == 1);
+      // The time goes on where it was, also for the next owner but one.
+      const auto later = stopped + offset + seconds(3);
+      store.Put({ ClockRecord(next.mClock, later) });
+      const auto third = store.Load(kNow);
+      CHECK(JobNow(third.mClock, kNow) == JobNow(next.mClock, later));
+    }
+  }
+}
+
+TEST_CASE("no job is from the future of its partition")
+{
+  // Guards against records of a version that stored wall times.
+  Newest store;
+  const auto job = Submission("j", 1);
+  job->mSubmittedAt += seconds(500);
+  store.Put({ ClockRecord({ kSubmitted, kNow }, kNow) });
+  store.Put(JobRecords(*job, kMaxRecord));
+  const auto table = store.Load();
+  CHECK(JobNow(table.mClock, kNow) == job->mSubmittedAt);
+  CHECK(JobNow(Newest{}.Load().mClock, kNow) == kSubmitted);
+  // An earlier reading than the own one changes nothing.
+  JobClock clock{ kSubmitted, kNow };
+  Advance(clock, kSubmitted + seconds(1), kNow + seconds(2));
+  CHECK(JobNow(clock, kNow + seconds(2)) == kSubmitted + seconds(2));
 }
 
 TEST_CASE("a new owner imports the progress of the former owner")
@@ -302,7 +357,8 @@
   nextItems[4].mLastEvent = 4;
   nextItems[4].mEvents = 4;
   nextItems[5].mRunning = true;
-  const auto imported = ApplyProgress(next, CollectProgress(former, 1000));
+  const auto imported =
+    ApplyProgress(next, CollectProgress(former, 1000, kNow), kNow);
   CHECK(imported.mItems == 2);
   CHECK(imported.mEvents == 6);
   REQUIRE(imported.mCompleted.size() == 1);
@@ -315,12 +371,14 @@
   CHECK(nextItems[4].mLastEvent == 4);
   CHECK(nextItems[5].mOutput.empty());
   // The page is bounded, and progress of ended or unknown jobs is ignored.
-  CHECK(CollectProgress(former, 0).items.size() == 1);
+  CHECK(CollectProgress(former, 0, kNow).items.size() == 1);
   former.mJobs.begin()->second->mEnded = true;
-  CHECK(CollectProgress(former, 1000).items.empty());
+  CHECK(CollectProgress(former, 1000, kNow).items.empty());
   JobTable empty;
   former.mJobs.begin()->second->mEnded = false;
-  CHECK(ApplyProgress(empty, CollectProgress(former, 1000)).mItems == 0);
+  CHECK(
+    ApplyProgress(empty, CollectProgress(former, 1000, kNow), kNow).mItems ==
+    0);
 }
 
 TEST_CASE("a result page holds at least one result and continues the last one")
