--- a/mangovalve/batch/job_table.h
+++ b/mangovalve/batch/job_table.h
@@ -62,6 +62,10 @@
 
 using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
 
+// Longest id of a job. It is part of the keys of the job's records, of which
+// the other parts take up to 41 bytes and the store takes 255.
+constexpr std::size_t kMaxJobIdBytes = 214;
+
 struct JobTable
 {
   std::map<std::pair<std::string, std::string>, SubmittedJobPtr>
--- a/mangovalve/batch/job_table_test.cc
+++ b/mangovalve/batch/job_table_test.cc
@@ -133,6 +133,32 @@
   CHECK(loaded->mItems[1].mSubmitted.body.size() == 7000);
 }
 
+TEST_CASE("jobs with any ids have keys of their own that the store takes")
+{
+  // Guards against keys that the store's client would have to cut, so that two
+  // jobs overwrite each other.
+  Newest store;
+  const std::string begin(kMaxJobIdBytes - 1, 'i');
+  const std::vector<std::string> ids = { "x",        "x/0",     "x/0/0",
+                                         "x/1/0",    "x/2/0/0", begin + "a",
+                                         begin + "b" };
+  for (const auto& id : ids) {
+    for (const auto& record : JobRecords(*Submission(id, 3), kMaxRecord)) {
+      CHECK(record.mKey.size() <= 255);
+      CHECK_FALSE(store.mValues.contains(record.mKey));
+      store.mValues[record.mKey] = record.mValue;
+    }
+  }
+  const auto table = store.Load();
+  CHECK(table.mJobs.size() == ids.size());
+  for (const auto& id : ids) {
+    const auto job = FindJob(table, "team", id);
+    REQUIRE(job);
+    CHECK(job->mItems[2].mSubmitted.id == id + "-2");
+    CHECK(job->mItems[2].mSubmitted.body.size() == 14000);
+  }
+}
+
 TEST_CASE("removing a job removes all its records")
 {
   Newest store;
