Batch: a job on a public route belongs to the team of its key

Callers got 202 for a job on a batch route with "public", and 404 for each read of it: a public route ignores the key, so the job was stored for no team, while calls about jobs are looked up under the team of their key.

Batch routes need a key, whatever "public" says. Without a known one a submission is refused with 401.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -878,7 +878,10 @@
     admission.mRefusal = RefusalReason::NoRoute;
     return admission;
   }
-  if (!document.mKeysRequired || admission.mRoute->mPublic) {
+  // A batch job belongs to a team, by whose keys it is read later.
+  const auto needsNoKey =
+    admission.mRoute->mPublic && admission.mRoute->mKind != RouteKind::Batch;
+  if (!document.mKeysRequired || needsNoKey) {
     return admission;
   }
   const auto team = document.mTeamOfKey.find(aMetadata.mKey);
--- a/mangovalve/serving/document.h
+++ b/mangovalve/serving/document.h
@@ -50,7 +50,7 @@
   // Silence after which callers abandon an answer.
   std::chrono::milliseconds mCallerPatience{ 30000 };
   int mPriority = 0;       // 0 is the highest
-  bool mPublic = false;    // no key needed
+  bool mPublic = false;    // no key needed; not for batch
   bool mResumable = false; // streams only
   // Batch only. Both times count from the first submission of a job.
   std::chrono::milliseconds mDue{ 0 };          // until items should be done
