Streams: notice events of which only the id is sound

No caller reported it. A property test over single faults in a stream of events found texts that were complete and wrong: a last event whose id was spoiled to an earlier one was passed over as a repetition, an id without readable data counted as an event, events joined by a spoiled end were resumed after the first one's id, and an answer without any event was a complete, empty text.

SplitEvents() notes events out of order in their response and ids without the form of a numbered event; both are gaps. A numbered answer without a new event is complete only if it is an empty resumption. Existing tests are unchanged.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -577,8 +577,11 @@
     }
   }
   // Without a length and chunks, the end of a stream that has no event can't be
-  // told from the end of its endpoint.
-  const auto endedEarly = aParser.need_eof() && !aRun.mAnswerBegun;
+  // told from the end of its endpoint. An item has an event, and a resumed
+  // stream repeats none, unless the id of a later one is spoiled.
+  const auto endedEarly =
+    aRun.mEvents == 0 &&
+    (aParser.need_eof() || aRun.mAnswerBegun || !item.mLastEvent);
   if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(aRun, http::error::partial_message);
--- a/mangovalve/online/event_stream.cc
+++ b/mangovalve/online/event_stream.cc
@@ -7,6 +7,8 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include "mangovalve/base/id.h"
+
 namespace mangovalve {
 namespace {
 
@@ -28,25 +30,54 @@
   return absl::StripPrefix(aLine, " ");
 }
 
-auto IdOf(const StreamEvent& aEvent) -> std::optional<std::uint64_t>
+// Whether the line is empty or of a field without data.
+auto IsPlainLine(absl::string_view aLine) -> bool
 {
-  std::optional<std::uint64_t> id;
-  for (const auto line : Lines(aEvent)) {
-    std::uint64_t value = 0;
-    const auto text = FieldValue(line, "id");
-    if (text && absl::SimpleAtoi(*text, &value)) {
-      id = value;
-    }
-  }
-  return id;
+  return aLine.empty() || aLine == "\r" || FieldValue(aLine, "event") ||
+         FieldValue(aLine, "retry");
 }
 
 // Whether the line belongs to a comment or to a field that has a meaning in an
 // event without an id.
 auto IsKnownLine(absl::string_view aLine) -> bool
 {
-  return aLine.empty() || aLine == "\r" || aLine[0] == ':' ||
-         FieldValue(aLine, "event") || FieldValue(aLine, "retry");
+  return IsPlainLine(aLine) || aLine[0] == ':';
+}
+
+// Reads the id and the form of the event. Lines before the id may be anything:
+// endpoints send some of their own there.
+auto ReadForm(StreamEvent& aEvent) -> void
+{
+  auto ids = 0;
+  auto hasData = false;
+  auto hasUnknown = false;
+  for (const auto line : Lines(aEvent)) {
+    if (const auto id = FieldValue(line, "id")) {
+      std::uint64_t value = 0;
+      aEvent.mId = absl::SimpleAtoi(*id, &value) ? value : aEvent.mId;
+      ++ids;
+    } else if (FieldValue(line, "data")) {
+      hasData = true;
+    } else if ((ids > 0 || hasData) && !IsPlainLine(line)) {
+      hasUnknown = true;
+    }
+  }
+  aEvent.mMalformed =
+    aEvent.mId.has_value() && (ids != 1 || !hasData || hasUnknown);
+}
+
+// Compares the event with the one before it in the response.
+auto ReadOrder(StreamEvent& aEvent, EventSplitter& aSplitter) -> void
+{
+  if (!aEvent.mId) {
+    return;
+  }
+  const auto hash = StableHash(aEvent.mText);
+  const auto last = aSplitter.mLastId;
+  const auto copy = aEvent.mId == last && hash == aSplitter.mLastHash;
+  aEvent.mOutOfOrder = last && *aEvent.mId != *last + 1 && !copy;
+  aSplitter.mLastId = aEvent.mId;
+  aSplitter.mLastHash = hash;
 }
 
 // Length of the blank line that ends the event at aAt; 0 if there is none.
@@ -78,7 +109,8 @@
     }
     at += length;
     StreamEvent event{ text.substr(begin, at - begin), std::nullopt };
-    event.mId = IdOf(event);
+    ReadForm(event);
+    ReadOrder(event, aSplitter);
     events.push_back(std::move(event));
     begin = at;
   }
@@ -117,6 +149,9 @@
              std::optional<std::uint64_t> aLast,
              bool aNumbered) -> EventOrder
 {
+  if (aEvent.mOutOfOrder || (aNumbered && aEvent.mMalformed)) {
+    return EventOrder::Gap;
+  }
   if (!aEvent.mId) {
     const auto lines = Lines(aEvent);
     const auto spoiled =
--- a/mangovalve/online/event_stream.h
+++ b/mangovalve/online/event_stream.h
@@ -14,15 +14,25 @@
 {
   std::string mText; // the whole event, including the final blank line
   std::optional<std::uint64_t> mId;
+  // It has an id, but not the form of an event in a numbered stream: one id, at
+  // least one line of data, and no unknown line after them.
+  bool mMalformed = false;
+  // Its id does not follow that of the event before it in the same response,
+  // and it is no copy of that event.
+  bool mOutOfOrder = false;
 };
 
 // Largest event. An endpoint that sends a longer one, or one without end, has
 // failed.
 constexpr std::size_t kMaxEventBytes = 256UL << 10U;
 
+// State of one response.
 struct EventSplitter
 {
   std::string mPartial; // start of an incomplete event
+  // Of the last event with an id.
+  std::optional<std::uint64_t> mLastId;
+  std::uint64_t mLastHash = 0;
 };
 
 // Whether the incomplete event exceeds kMaxEventBytes.
@@ -54,7 +64,8 @@
 // it may be an error message or a spoiled event. aNumbered: all streams of this
 // kind are numbered, so that lines without an id that are neither a comment nor
 // a known field are spoiled too; otherwise data without an id counts as the
-// next event until there is one with an id.
+// next event until there is one with an id. An event out of order leaves a gap,
+// as does a malformed one in a numbered stream.
 auto OrderOf(const StreamEvent& aEvent,
              std::optional<std::uint64_t> aLast,
              bool aNumbered) -> EventOrder;
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -814,8 +814,12 @@
     }
   }
   // Without a length and chunks, the end of a stream that has no event can't be
-  // told from the end of its endpoint.
-  const auto endedEarly = aParser.need_eof() && !mContext.mAnswerBegun;
+  // told from the end of its endpoint. A numbered stream has an event, and a
+  // resumed one repeats none, unless the id of a later one is spoiled.
+  const auto nothingNew = mContext.mForwardedEvents == mContext.mEventsBefore;
+  const auto nothingAtAll = mContext.mRoute->mResumable && !mContext.mLastEvent;
+  const auto endedEarly =
+    nothingNew && (aParser.need_eof() || mContext.mAnswerBegun || nothingAtAll);
   if (endedEarly || !splitter.mPartial.empty()) {
     if (aParser.need_eof()) {
       NoteError(http::error::partial_message);
