Planned stop answers pipelined requests

Callers that sent several requests on a connection got the answer to one of them during a planned stop, then the connection ended. The others had arrived at the host. After a stream that had begun before the stop, the connection ended without an announcement.

Cause: one flag stood for both "the host is stopping" and "the current response is the last one of its connection".

A response now announces the end of its connection only if no byte of another request has arrived when its head is written, and a connection ends only after a response that announced it. What arrives later is outside the connection.

http_server_test.cc before: "a stop answers every request" failed 77 checks, one for each of 77 splits; "arrives while another is handled" and "did not announce it" failed; "whose caller announced the end" passed and keeps the limit.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -86,11 +86,18 @@
   co_return !error;
 }
 
+auto Caller::EndsConnection() -> bool
+{
+  mLast = mLast || (mClosing && mBuffer.size() == 0 &&
+                    !HasPendingInput(mStream.socket()));
+  return mLast;
+}
+
 auto Caller::Reply(Response aResponse) -> Task<bool>
 {
   mAnswered = true;
   aResponse.version(11);
-  aResponse.keep_alive(!mClosing);
+  aResponse.keep_alive(!EndsConnection());
   aResponse.prepare_payload();
   mStream.expires_at(Clock::now() + kWriteTimeout);
   http::response_serializer<http::string_body> serializer(aResponse);
@@ -107,7 +114,7 @@
   aHead.version(11);
   aHead.erase(http::field::content_length);
   aHead.set(http::field::transfer_encoding, "chunked");
-  if (mClosing) {
+  if (EndsConnection()) {
     aHead.set(http::field::connection, "close");
   }
   auto bytes = HeadText(aHead);
@@ -135,7 +142,7 @@
 auto Caller::Abort() -> void
 {
   mAnswered = true;
-  mClosing = true;
+  mLast = true;
   ErrorCode ignored; // the socket is closed either way
   mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   mStream.close();
@@ -248,7 +255,7 @@
   }
   if (error) {
     if (IsMalformed(error)) {
-      caller.mClosing = true;
+      caller.mLast = true;
       co_await caller.Reply(Response(StatusOf(error), 11));
     }
     co_return false;
@@ -256,7 +263,7 @@
   caller.mArrivedAt = Clock::now();
   caller.mPhase = ConnectionPhase::Handling;
   caller.mAnswered = false;
-  caller.mClosing = caller.mClosing || mClosing || !parser.keep_alive();
+  caller.mLast = !parser.keep_alive();
   stream.expires_never();
   Spawn(mLoop, WatchForDisconnect(aCaller));
   auto request = std::make_shared<Request>(parser.release());
@@ -270,7 +277,7 @@
   if (caller.mBuffer.size() == 0) {
     caller.mBuffer.shrink_to_fit();
   }
-  co_return !caller.mDisconnected && !caller.mClosing;
+  co_return !caller.mDisconnected && !caller.mLast;
 }
 
 auto AsyncHttpServer::WatchForDisconnect(CallerPtr aCaller) -> Task<>
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -88,6 +88,8 @@
   friend class AsyncHttpServer;
 
   auto Write(std::string aBytes) -> Task<bool>;
+  // Decides whether the response that begins now is the last one.
+  auto EndsConnection() -> bool;
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
@@ -95,9 +97,11 @@
   TimePoint mAcceptedAt = Clock::now();
   bool mDisconnected = false;
   bool mSendingEnded = false; // implies mDisconnected; without a reset
-  bool mClosing = false;      // responses announce the end of the connection
-  bool mAnswered = false;     // the response to the current request was begun
-  bool mChunked = false;      // a chunked response was begun but not ended
+  // The next response is the last one, unless another request has arrived.
+  bool mClosing = false;
+  bool mLast = false;     // no request follows, which the response announces
+  bool mAnswered = false; // the response to the current request was begun
+  bool mChunked = false;  // a chunked response was begun but not ended
 };
 
 using CallerPtr = std::shared_ptr<Caller>;
@@ -116,7 +120,8 @@
   // Listens on "IP:PORT" and serves until the loop stops.
   auto Listen(const std::string& aAddress) -> ErrorCode;
 
-  // From now on, every response ends its connection.
+  // From now on, every response ends its connection, unless the next request
+  // has arrived on it before the response begins.
   auto CloseAfterResponses() -> void;
   // Closes the connections on which no request is in progress and no byte of
   // one has arrived. A new connection is kept for the time that its first
@@ -140,6 +145,7 @@
   auto Accept() -> Task<>;
   auto Admit(Tcp::socket aSocket) -> void;
   auto Serve(CallerPtr aCaller) -> Task<>;
+  // Serves one request; returns whether another may follow.
   auto ServeOne(CallerPtr aCaller) -> Task<bool>;
   static auto WatchForDisconnect(CallerPtr aCaller) -> Task<>;
 
--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -18,18 +18,26 @@
 
 constexpr auto kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+auto Answer(CallerPtr aCaller, std::shared_ptr<Request> /*aRequest*/) -> Task<>
+{
+  Response response(http::status::ok, 11);
+  response.body() = "answer";
+  co_await aCaller->Reply(std::move(response));
+}
+
 struct ServerUnderTest
 {
   asio::io_context mLoop{ 1 };
   std::string mAddress = standin::FreeAddress();
-  AsyncHttpServer mServer{ mLoop,
-                           [](CallerPtr aCaller,
-                              std::shared_ptr<Request>) -> Task<> {
-                             Response response(http::status::ok, 11);
-                             response.body() = "answer";
-                             co_await aCaller->Reply(std::move(response));
-                           },
-                           [this] { return mLimits; } };
+  RequestHandler mHandler = Answer;
+  std::function<auto()->CallerLimits> mReadLimits = [this] { return mLimits; };
+  AsyncHttpServer mServer{
+    mLoop,
+    [this](CallerPtr aCaller, std::shared_ptr<Request> aRequest) {
+      return mHandler(std::move(aCaller), std::move(aRequest));
+    },
+    [this] { return mReadLimits(); }
+  };
   CallerLimits mLimits;
 
   ServerUnderTest() { REQUIRE_FALSE(mServer.Listen(mAddress)); }
@@ -251,5 +259,108 @@
   CHECK(server.ReadAll(silent).empty());
 }
 
+auto CountOf(std::string_view aText, std::string_view aPart) -> std::size_t
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aPart); at != std::string_view::npos;
+       at = aText.find(aPart, at + aPart.size())) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_CASE("a stop answers every request that has arrived on a connection")
+{
+  // Guards against pipelined requests that were read, or lay unread in the
+  // socket, when the answer to the first ended their connection.
+  const std::string second =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  const auto requests = kRequest + second + kRequest;
+  const auto ends = std::string(kRequest).size();
+  for (std::size_t read = 0; read < requests.size(); ++read) {
+    if (read == ends || read == ends + second.size()) {
+      continue; // the connection is idle then
+    }
+    CAPTURE(read);
+    ServerUnderTest server;
+    auto socket = server.Connect();
+    asio::write(socket, asio::buffer(requests.substr(0, read)));
+    server.mLoop.run_for(milliseconds(5));
+    server.Stop();
+    asio::write(socket, asio::buffer(requests.substr(read)));
+    const auto text = server.ReadAll(socket);
+    CHECK(CountOf(text, "HTTP/1.1 200") == 3);
+    CHECK(CountOf(text, "Connection: close") == 1);
+    CHECK(IsAnswered(text.substr(text.rfind("HTTP/1.1"))));
+  }
+}
+
+TEST_CASE("a stop answers a request that arrives while another is handled")
+{
+  // Guards against the same for a request that arrives late.
+  ServerUnderTest server;
+  auto handled = 0;
+  server.mHandler = [&](CallerPtr aCaller,
+                        std::shared_ptr<Request> aRequest) -> Task<> {
+    ++handled;
+    co_await SleepUntil(Clock::now() + milliseconds(50));
+    co_await Answer(std::move(aCaller), std::move(aRequest));
+  };
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string(kRequest)));
+  while (handled == 0) {
+    server.mLoop.run_for(milliseconds(2));
+  }
+  server.Stop();
+  asio::write(socket, asio::buffer(std::string(kRequest)));
+  CHECK(CountOf(server.ReadAll(socket), "HTTP/1.1 200") == 2);
+}
+
+TEST_CASE("a stop ends no connection whose last answer did not announce it")
+{
+  // Guards against a stream of before the stop after which the connection ends,
+  // so that the next request gets no answer though it was allowed.
+  ServerUnderTest server;
+  auto stopped = false;
+  server.mHandler = [&](CallerPtr aCaller,
+                        std::shared_ptr<Request> aRequest) -> Task<> {
+    if (stopped) {
+      co_await Answer(std::move(aCaller), std::move(aRequest));
+      co_return;
+    }
+    ResponseHead head;
+    head.result(http::status::ok);
+    co_await aCaller->BeginChunks(std::move(head), "first");
+    server.Stop();
+    stopped = true;
+    co_await aCaller->SendChunk("last");
+    co_await aCaller->EndChunks();
+  };
+  auto socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string(kRequest)));
+  while (!stopped) {
+    server.mLoop.run_for(milliseconds(2));
+  }
+  server.mLoop.run_for(milliseconds(20)); // the stream has ended
+  ErrorCode error;
+  asio::write(socket, asio::buffer(std::string(kRequest)), error);
+  CHECK_FALSE(error);
+  const auto text = server.ReadAll(socket);
+  CHECK(text.find("last\r\n0\r\n\r\n") != std::string::npos);
+  CHECK(IsAnswered(text.substr(text.rfind("HTTP/1.1"))));
+}
+
+TEST_CASE("a stop ends a connection whose caller announced the end")
+{
+  // Guards against an answer to bytes that belong to no request.
+  ServerUnderTest server;
+  auto socket = server.Connect();
+  const std::string last =
+    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  asio::write(socket, asio::buffer(last + kRequest));
+  server.Stop();
+  CHECK(CountOf(server.ReadAll(socket), "HTTP/1.1 200") == 1);
+}
+
 } // namespace
 } // namespace mangovalve
