The HTTP client writes only requests that parse back to themselves

No caller is known to have met this: a line break in a target, method or field would end the head early, and what follows would be read as fields or as another request. The library checks what it parses, not what it writes.

SendRequest() refuses what CheckRequest() does not accept, with one pass over the head, a log line and a counter.

--- a/fuzz/parsers_fuzz.cc
+++ b/fuzz/parsers_fuzz.cc
@@ -4,14 +4,19 @@
 //
 // Usage: mangovalve_fuzz [RUNS [SEED]]. Exits with 1 after a failed property;
 // a sanitizer's finding ends the process.
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <limits>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "mangovalve/base/property.h"
 #include "mangovalve/batch/flatbuffers_table.h"
+#include "mangovalve/loop/message_parser.h"
+#include "mangovalve/loop/request_check.h"
 #include "mangovalve/online/event_stream.h"
 #include "mangovalve/peer/state_copy_generated.h"
 #include "mangovalve/serving/fleet_load.h"
@@ -135,13 +140,123 @@
          (!registration || registration->mSlots >= 1);
 }
 
+// Parses one request; returns the number of bytes that belong to it, or zero if
+// it is not whole.
+auto ParseRequest(const std::string& aBytes, Request& aInto) -> std::size_t
+{
+  RequestParser parser;
+  parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+  parser.eager(true);
+  ErrorCode error;
+  std::size_t used = 0;
+  while (!error && !parser.is_done() && used < aBytes.size()) {
+    const auto count = parser.put(
+      asio::buffer(aBytes.data() + used, aBytes.size() - used), error);
+    used += count;
+    if (count == 0) {
+      break;
+    }
+  }
+  if (error || !parser.is_done()) {
+    return 0;
+  }
+  aInto = parser.release();
+  return used;
+}
+
+auto Trimmed(beast::string_view aText) -> beast::string_view
+{
+  const auto* kBlank = " \t";
+  const auto begin = aText.find_first_not_of(kBlank);
+  return begin == beast::string_view::npos
+           ? beast::string_view()
+           : aText.substr(begin, aText.find_last_not_of(kBlank) + 1 - begin);
+}
+
+auto SameRequest(const Request& aLeft, const Request& aRight) -> bool
+{
+  return aLeft.method_string() == aRight.method_string() &&
+         aLeft.target() == aRight.target() && aLeft.body() == aRight.body() &&
+         std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const auto& aField, const auto& aOther) {
+                      return aField.name_string() == aOther.name_string() &&
+                             Trimmed(aField.value()) == Trimmed(aOther.value());
+                    });
+}
+
+// Whether a request that the client writes is read as that request alone.
+auto ReadsBack(const Request& aRequest) -> bool
+{
+  if (CheckRequest(aRequest)) {
+    return true; // it is not written
+  }
+  std::ostringstream text;
+  text << aRequest;
+  Request read;
+  const auto used = ParseRequest(text.str() + "GET / HTTP/1.1\r\n\r\n", read);
+  return used == text.str().size() && SameRequest(aRequest, read);
+}
+
+// Builds requests with arbitrary text in each place.
+auto WritesRequests(const std::string& aBytes) -> bool
+{
+  auto holds = true;
+  for (auto place = 0; place < 5; ++place) {
+    Request request(http::verb::post, "/a", 11);
+    request.body() = aBytes;
+    request.content_length(aBytes.size());
+    switch (place) {
+      case 0:
+        request.method_string(aBytes);
+        break;
+      case 1:
+        request.target(aBytes);
+        break;
+      case 2:
+        request.insert(aBytes, "value");
+        break;
+      case 3:
+        request.insert("Name", aBytes);
+        break;
+      default:
+        request.insert(http::field::content_length, aBytes);
+    }
+    holds = holds && ReadsBack(request);
+  }
+  return holds;
+}
+
+// Whether what a caller has sent can be passed on.
+auto PassesOn(const std::string& aBytes) -> bool
+{
+  static const auto kProtocol = platform::MakeProtocol();
+  Request request;
+  if (ParseRequest(aBytes, request) == 0) {
+    return true;
+  }
+  const auto passed = kProtocol.mEndpointRequest(request, DispatchMetadata{});
+  return !CheckRequest(passed) && ReadsBack(passed);
+}
+
 auto ReadsSubmission(const std::string& aBytes) -> bool
 {
   static const auto kProtocol = platform::MakeProtocol();
   Request request(http::verb::post, "/lex/1", 11);
   request.body() = aBytes;
   const auto job = kProtocol.mReadSubmission(request);
-  return !job || !job->items.empty();
+  if (!job) {
+    return true;
+  }
+  return !job->items.empty() &&
+         std::all_of(
+           job->items.begin(), job->items.end(), [&](const auto& aItem) {
+             const auto passed =
+               kProtocol.mItemRequest("h", *aItem, DispatchMetadata{});
+             return !CheckRequest(passed) && ReadsBack(passed);
+           });
 }
 
 // Reads a request and a response head whose targets and fields are arbitrary.
@@ -296,6 +411,16 @@
       { R"({"items":[{"id":"i","path":"/lex/3","headers":{"Model":"m"},)"
         R"("body":"q83vEjRWeJA=","tokens":940}]})" },
       ReadsSubmission },
+    { "written",
+      { "GET", "/lex/3?a=b", "Content-Length", "3", " a; b=\"c\" " },
+      WritesRequests },
+    { "passed on",
+      { "POST /lex/3?a=b HTTP/1.1\r\nHost: h\r\nModel: m\r\n"
+        "Content-Length: 4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: x, close\r\nX: \xe9\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "TRACE /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n" },
+      PassesOn },
     { "metadata",
       { "/api/lots/7c41?after=12", "/api/items/7c41?id=e5", "3,0,8", "500" },
       ReadsMetadata },
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -11,7 +11,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "mangovalve/loop/request_check.h"
 #include "mangovalve/loop/run_loop.h"
+#include "mangovalve/telemetry/counters.h"
+#include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
 namespace {
@@ -89,10 +92,24 @@
   }
 }
 
+auto ReportRefused(const ClientConnection& aConnection, const ErrorCode& aError)
+  -> void
+{
+  FindCounter("mangovalve_unwritable_requests_total").Add();
+  LogEvent(
+    Severity::Error,
+    "unwritable_request",
+    { { "address", aConnection.mAddress }, { "reason", aError.message() } });
+}
+
 auto WriteRequest(ClientConnection& aConnection,
                   const Request& aRequest,
                   TimePoint aDeadline) -> Task<ErrorCode>
 {
+  if (const auto refused = CheckRequest(aRequest)) {
+    ReportRefused(aConnection, refused);
+    co_return refused;
+  }
   aConnection.mStream.expires_at(aDeadline);
   http::request_serializer<http::string_body> serializer(aRequest);
   ErrorCode error;
--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -419,6 +419,46 @@
   return { std::move(*result), received };
 }
 
+TEST_CASE("a request that would not parse back to itself is not written")
+{
+  // Guards against a head that ends early or holds fields that nobody set, and
+  // so against a second request inside the first, whoever built it.
+  const auto sound = [] {
+    Request request(http::verb::post, "/a?b=%20", 11);
+    request.set("X-Text", " caf\xc3\xa9\t; a=\"b\" ");
+    request.set("Empty", "");
+    request.body() = "body";
+    return request;
+  };
+  const auto sent = CallCounted(sound());
+  CHECK(sent.mResult);
+  CHECK(sent.mReceived > 0);
+  std::vector<Request> requests;
+  for (const auto* target :
+       { "", "/a b", "/ HTTP/1.1\r\nX: y\r\n\r\n", "/a\nb", "/\x7f" }) {
+    requests.push_back(sound());
+    requests.back().target(target);
+  }
+  for (const auto* value : { "a\r\nX: y", "a\nb", "a\rb", "a\x01", "\x7f" }) {
+    requests.push_back(sound());
+    requests.back().set("X-Text", value);
+  }
+  for (const auto* name : { "", "X Y", "X:", "X\r\nY", "X\xe9" }) {
+    requests.push_back(sound());
+    requests.back().set(name, "value");
+  }
+  for (const auto* method : { "", "GET /x HTTP/1.1\r\n", "G T" }) {
+    requests.push_back(sound());
+    requests.back().method_string(method);
+  }
+  for (const auto& request : requests) {
+    CAPTURE(request);
+    const auto refused = CallCounted(request);
+    CHECK_FALSE(refused.mResult);
+    CHECK(refused.mReceived == 0);
+  }
+}
+
 TEST_CASE("an exception in the client is an error of its exchange")
 {
   // Guards against a request whose task ends without an answer because the
