Soak: documents that move routes, callers with times of their own

The soak could not have shown it: its documents changed long timeouts and added routes, and its callers all waited for 5 s.

Callers state times of their own, of which half leave when their time is over, keep connections for four fifths of the newest idle limit, and ask for routes that come and go.

The judge now also reports, in all runs: - a connection that ends, whether the request was read or not, though its host was not told to stop and its caller stayed within the limits; - 401 and 403, and 404 for a route that all documents in force have; - a run at a service that no document in force allows; - a timeout before the caller's time and the route's shortest timeout in force. Only these two times excuse 504 and a cut response.

--- a/standins/soak/callers.cc
+++ b/standins/soak/callers.cc
@@ -1,4 +1,5 @@
 // Callers of a soak.
+#include <algorithm>
 #include <set>
 
 #include <absl/strings/str_cat.h>
@@ -15,17 +16,20 @@
 
 constexpr auto kConnectTimeout = seconds(1);
 constexpr auto kResponseTimeout = seconds(20);
+constexpr auto kUsualTime = milliseconds(5000); // stated by callers
+constexpr auto kMostIdle = milliseconds(3000);
 constexpr auto kJobsDeadline = seconds(60); // for the results at the end
 constexpr std::uint32_t kItemEvents = 8;
 
 auto MakeRequest(http::verb aVerb,
                  const std::string& aPath,
-                 const std::string& aId) -> Request
+                 const std::string& aId,
+                 milliseconds aTime = kUsualTime) -> Request
 {
   Request request(aVerb, aPath, 11);
   request.set(http::field::host, "h.example");
   request.set(platform::kCallerKey, "red-key");
-  request.set(platform::kDeadline, "5000");
+  request.set(platform::kDeadline, absl::StrCat(aTime.count()));
   if (!aId.empty()) {
     request.set(platform::kRequestId, aId);
   }
@@ -38,16 +42,13 @@
   return { value.data(), value.size() };
 }
 
-// A refusal must be one; any other response must be the endpoint's.
+// A success must be the endpoint's.
 auto ResponseProblem(const SoakRoute& aRoute,
                      const std::string& aId,
                      const Response& aResponse) -> std::string
 {
-  if (IsRefusal(aResponse.result_int())) {
-    return "";
-  }
   if (aResponse.result() != http::status::ok) {
-    return absl::StrCat("status ", aResponse.result_int());
+    return "";
   }
   if (Header(aResponse, platform::kRequestId) != aId ||
       !Header(aResponse, platform::kSignature).starts_with("by-")) {
@@ -65,10 +66,21 @@
                                      milliseconds(20),
                                      milliseconds(20),
                                      milliseconds(400),
-                                     milliseconds(3000) };
+                                     kMostIdle };
   return RandomTime(aRandom, kMost[UniformBelow(aRandom, std::size(kMost))]);
 }
 
+// The time that a caller states for a request.
+auto StatedTime(Random& aRandom) -> milliseconds
+{
+  constexpr std::uint64_t kUsual = 50; // percent
+  constexpr std::uint64_t kShortestMs = 400;
+  constexpr std::uint64_t kRangeMs = 5600;
+  return Chance(aRandom, kUsual)
+           ? kUsualTime
+           : milliseconds(kShortestMs + UniformBelow(aRandom, kRangeMs));
+}
+
 auto RandomPlan(Random& aRandom) -> SendPlan
 {
   constexpr std::uint64_t kInPieces = 25; // percent
@@ -118,6 +130,10 @@
         continue;
       }
     }
+    if (Clock::now() - aCaller.mConnection->mIdleSince > LongestIdle()) {
+      aCaller.mConnection = nullptr;
+      continue;
+    }
     co_await Ask(aCaller);
     if (Chance(aCaller.mRandom, kNewConnection)) {
       aCaller.mConnection = nullptr;
@@ -136,6 +152,7 @@
   ++mActive;
   co_await SleepUntil(Clock::now() + aDelay);
   const auto& process = mHosts[aHost].mProcess;
+  caller.mPid = process.mPid;
   caller.mConnection =
     co_await Connect(mLoop, process.mCallers, Clock::now() + kConnectTimeout);
   if (caller.mConnection) {
@@ -144,9 +161,15 @@
   --mActive;
 }
 
+// For which the newest document lets a connection be idle.
+auto Soak::LongestIdle() const -> Duration
+{
+  return UsableIdle({ &mDocuments.back(), 1 });
+}
+
 auto Soak::Idle(SoakCaller& aCaller, Duration aTime) -> Task<>
 {
-  aCaller.mIdleUntil = Clock::now() + aTime;
+  aCaller.mIdleUntil = Clock::now() + std::min(aTime, LongestIdle());
   // Planned work may set another time.
   while (Clock::now() < aCaller.mIdleUntil && !mCallersEnd) {
     aCaller.mWake.expires_at(aCaller.mIdleUntil);
@@ -161,6 +184,7 @@
   constexpr auto kMostRetryDelay = milliseconds(100);
   aCaller.mHost = ChooseHost(aCaller.mRandom);
   const auto& process = mHosts[aCaller.mHost].mProcess;
+  aCaller.mPid = process.mPid;
   aCaller.mConnection =
     co_await Connect(mLoop, process.mCallers, Clock::now() + kConnectTimeout);
   if (!aCaller.mConnection) {
@@ -177,18 +201,45 @@
   co_return true;
 }
 
+// Mostly one that every document has, otherwise one of a recent document.
+auto Soak::ChooseRoute(Random& aRandom) const -> SoakRoute
+{
+  constexpr std::uint64_t kExtra = 8; // percent
+  constexpr std::size_t kRecent = 8;
+  if (mOptions.mMoves && Chance(aRandom, kExtra)) {
+    const auto recent = std::min(mDocuments.size(), kRecent);
+    const auto& document =
+      mDocuments[mDocuments.size() - 1 - UniformBelow(aRandom, recent)];
+    std::vector<std::string> extra;
+    for (const auto& [name, terms] : document.mRoutes) {
+      if (name.starts_with(kExtraRoute)) {
+        extra.push_back(name);
+      }
+    }
+    if (!extra.empty()) {
+      return ExtraRoute(extra[UniformBelow(aRandom, extra.size())]);
+    }
+  }
+  return SoakRoutes()[UniformBelow(aRandom, SoakRoutes().size())];
+}
+
 auto Soak::Ask(SoakCaller& aCaller) -> Task<>
 {
-  const auto& routes = SoakRoutes();
-  const auto& route = routes[UniformBelow(aCaller.mRandom, routes.size())];
+  const auto route = ChooseRoute(aCaller.mRandom);
+  const auto& process = mHosts[aCaller.mHost].mProcess;
+  const auto time = mOptions.mMoves ? StatedTime(aCaller.mRandom) : kUsualTime;
   Attempt attempt;
   attempt.mId = NextId("r");
-  attempt.mHost = mHosts[aCaller.mHost].mProcess.mName;
+  attempt.mHost = process.mName;
+  attempt.mRoute = route.mName;
   attempt.mMayRepeat = route.mKind == "idempotent" || route.mResumable;
   auto request = MakeRequest(
-    http::verb::post, absl::StrCat("/", route.mName, "/1"), attempt.mId);
+    http::verb::post, absl::StrCat("/", route.mName, "/1"), attempt.mId, time);
   request.body() = "body of " + attempt.mId;
-  const auto plan = RandomPlan(aCaller.mRandom);
+  auto plan = RandomPlan(aCaller.mRandom);
+  if (mOptions.mMoves && Chance(aCaller.mRandom, 50)) {
+    plan.mPatience = time;
+  }
   Response response;
   co_await Exchange(*aCaller.mConnection,
                     request,
@@ -196,6 +247,10 @@
                     Clock::now() + kResponseTimeout,
                     attempt,
                     response);
+  attempt.mExpiresAt = attempt.mLastWriteAt + time;
+  attempt.mHostServed =
+    process.mPid == aCaller.mPid &&
+    (process.mTermAt == TimePoint{} || process.mTermAt > attempt.mEndedAt);
   if (attempt.mEnding == Ending::Answered) {
     attempt.mProblem = ResponseProblem(route, attempt.mId, response);
   }
--- a/standins/soak/checker_test.cc
+++ b/standins/soak/checker_test.cc
@@ -194,5 +194,163 @@
   CHECK(Judge(attempt, { run(1, 500, 2000), run(0, 0, 1000) }, {}));
 }
 
+TEST_CASE("a request that outlasts its caller's patience is given up")
+{
+  // Guards against reports of callers that leave by their own decision, and
+  // against a soak that waits for ever.
+  asio::io_context loop(1);
+  const auto address = FreeAddress();
+  RawServer server(loop,
+                   [](RawServer&, Tcp::socket&, const Request&) -> Task<> {
+                     co_await SleepUntil(Clock::now() + seconds(5));
+                   });
+  REQUIRE_FALSE(server.Listen(address));
+  SendPlan plan;
+  plan.mPatience = milliseconds(50);
+  const auto attempt = AskOnce(loop, address, plan);
+  CHECK(attempt.mEnding == Ending::GaveUp);
+  CHECK(attempt.mEndedAt - attempt.mSentAt < seconds(4));
+  CHECK_FALSE(Judge(attempt, Runs(1), {}));
+}
+
+// A document that has the route of Asked() at the service.
+auto Document(std::uint64_t aVersion,
+              TimePoint aPublishedAt,
+              const std::string& aService,
+              milliseconds aTimeout = seconds(6)) -> SoakDocument
+{
+  SoakDocument document;
+  document.mVersion = aVersion;
+  document.mPublishedAt = aPublishedAt;
+  document.mRoutes["plain"] = { { aService }, aTimeout };
+  return document;
+}
+
+constexpr TimePoint kAskedAt{ seconds(100) };
+
+// A request whose response has the status, aAfter later, from a host that has
+// no reason to end its connection.
+auto Asked(unsigned aStatus, Duration aAfter = milliseconds(10)) -> Attempt
+{
+  Attempt attempt;
+  attempt.mRoute = "plain";
+  attempt.mEnding = Ending::Answered;
+  attempt.mStatus = aStatus;
+  attempt.mIdleSince = attempt.mBegunAt = kAskedAt;
+  attempt.mLastWriteAt = attempt.mSentAt = kAskedAt;
+  attempt.mEndedAt = kAskedAt + aAfter;
+  attempt.mHostServed = true;
+  return attempt;
+}
+
+auto RunAt(const std::string& aService) -> std::vector<RunSpan>
+{
+  return { { 0, kAskedAt, kAskedAt + milliseconds(5), aService } };
+}
+
+// What the judge says of the attempt beside the documents.
+auto JudgeBeside(Attempt aAttempt,
+                 const std::vector<RunSpan>& aRuns,
+                 const std::vector<SoakDocument>& aDocuments)
+  -> std::optional<std::string>
+{
+  ApplyDocuments(aAttempt, aRuns, aDocuments);
+  return Judge(aAttempt, aRuns, {});
+}
+
+TEST_CASE("a run at a service that no document in force allows is reported")
+{
+  // Guards against hosts that go on with an old document, and against reports
+  // while they may still do so.
+  const auto movedBefore = [](Duration aTime) {
+    return std::vector{ Document(1, TimePoint{}, "app"),
+                        Document(2, kAskedAt - aTime, "twin") };
+  };
+  const auto recent = movedBefore(kApplyBound - milliseconds(1));
+  CHECK_FALSE(JudgeBeside(Asked(200), RunAt("app"), recent));
+  CHECK_FALSE(JudgeBeside(Asked(200), RunAt("twin"), recent));
+  CHECK(JudgeBeside(Asked(200), RunAt("work"), recent));
+  const auto old = movedBefore(kApplyBound + milliseconds(1));
+  CHECK(JudgeBeside(Asked(200), RunAt("app"), old));
+  CHECK_FALSE(JudgeBeside(Asked(200), RunAt("twin"), old));
+  // Published after the response.
+  const auto later = movedBefore(-seconds(1));
+  CHECK_FALSE(JudgeBeside(Asked(200), RunAt("app"), later));
+  CHECK(JudgeBeside(Asked(200), RunAt("twin"), later));
+}
+
+TEST_CASE("denials of what every document in force allows are reported")
+{
+  // Guards against hosts that lose a route or a key while they take a document.
+  const std::vector both{ Document(1, TimePoint{}, "app"),
+                          Document(2, kAskedAt, "app") };
+  for (const auto status : { 401, 403, 404, 502, 504 }) {
+    CHECK(JudgeBeside(Asked(status), {}, both));
+  }
+  CHECK_FALSE(JudgeBeside(Asked(503), {}, both));
+  auto added = both;
+  added.front().mRoutes.clear();
+  CHECK_FALSE(JudgeBeside(Asked(404), {}, added));
+  CHECK(JudgeBeside(Asked(401), {}, added));
+  CHECK(JudgeBeside(Asked(403), {}, added));
+}
+
+TEST_CASE("timeouts before the time of the caller and the route are reported")
+{
+  // Guards against a soak that excuses each timeout.
+  const std::vector documents{ Document(1, TimePoint{}, "app", seconds(3)) };
+  const auto runs = RunAt("app");
+  for (const auto ending :
+       { Ending::Answered, Ending::Reset, Ending::Closed }) {
+    const auto ended = [&](Duration aAfter) {
+      auto attempt = Asked(504, aAfter);
+      attempt.mEnding = ending;
+      attempt.mBegun = true;
+      attempt.mExpiresAt = kAskedAt + seconds(2);
+      return attempt;
+    };
+    CHECK(JudgeBeside(ended(milliseconds(1999)), runs, documents));
+    CHECK_FALSE(JudgeBeside(ended(milliseconds(2000)), runs, documents));
+    auto patient = ended(milliseconds(2999));
+    patient.mExpiresAt = kAskedAt + seconds(20);
+    CHECK(JudgeBeside(patient, runs, documents));
+    patient.mEndedAt = kAskedAt + milliseconds(3000);
+    CHECK_FALSE(JudgeBeside(patient, runs, documents));
+  }
+  // Neither makes a refusal true nor a wrong status right.
+  CHECK(JudgeBeside(Asked(503, seconds(4)), runs, documents));
+  CHECK(JudgeBeside(Asked(502, seconds(4)), runs, documents));
+  CHECK(JudgeBeside(Asked(404, seconds(4)), runs, documents));
+}
+
+TEST_CASE("a connection that a serving host ends is reported")
+{
+  // Guards against hosts that end connections when they take a document.
+  const std::vector documents{ Document(1, TimePoint{}, "app"),
+                               Document(2, kAskedAt, "app") };
+  for (const auto ending : { Ending::Reset, Ending::Closed, Ending::Unsent }) {
+    auto attempt = Asked(0);
+    attempt.mEnding = ending;
+    CHECK(JudgeBeside(attempt, {}, documents));
+  }
+  auto crossed = Asked(0);
+  crossed.mEnding = Ending::Reset;
+  crossed.mHostServed = false;
+  CHECK_FALSE(JudgeBeside(crossed, {}, documents));
+  // The limits of all documents since the connection was idle count.
+  auto idle = Asked(0);
+  idle.mEnding = Ending::Reset;
+  idle.mIdleSince = kAskedAt - milliseconds(1201);
+  auto limited = documents;
+  limited.back().mIdleLimit = milliseconds(1500);
+  CHECK_FALSE(JudgeBeside(idle, {}, limited));
+  idle.mIdleSince = kAskedAt - milliseconds(1200);
+  CHECK(JudgeBeside(idle, {}, limited));
+  limited.back().mHeaderLimit = milliseconds(1000);
+  idle.mSentAt = idle.mBegunAt + milliseconds(801);
+  idle.mEndedAt = idle.mSentAt;
+  CHECK_FALSE(JudgeBeside(idle, {}, limited));
+}
+
 } // namespace
 } // namespace mangovalve::standin
--- a/standins/soak/exchange.cc
+++ b/standins/soak/exchange.cc
@@ -50,7 +50,8 @@
 
 auto SendPieces(CallerConnection& aConnection,
                 const std::string& aText,
-                SendPlan aPlan) -> Task<ErrorCode>
+                SendPlan aPlan,
+                TimePoint& aLastWriteAt) -> Task<ErrorCode>
 {
   ErrorCode error;
   const auto size = (aText.size() + aPlan.mPieces - 1) / aPlan.mPieces;
@@ -59,6 +60,7 @@
       co_await SleepUntil(Clock::now() + aPlan.mPause);
     }
     const auto count = std::min(size, aText.size() - from);
+    aLastWriteAt = Clock::now();
     co_await asio::async_write(aConnection.mStream,
                                asio::buffer(aText.data() + from, count),
                                CaptureError(error));
@@ -108,24 +110,31 @@
   aConnection.mUsed = true;
   stream.expires_at(aDeadline);
   const auto text = Text(aRequest);
-  auto error = co_await SendPieces(aConnection, text, aPlan);
+  aAttempt.mIdleSince = aConnection.mIdleSince;
+  aAttempt.mBegunAt = Clock::now();
+  auto error =
+    co_await SendPieces(aConnection, text, aPlan, aAttempt.mLastWriteAt);
   aAttempt.mSentAt = aAttempt.mEndedAt = Clock::now();
   if (error) {
     aAttempt.mEnding = Ending::Unsent;
     co_return;
   }
+  const auto patient = aPlan.mPatience > aDeadline - aAttempt.mSentAt;
+  if (!patient) {
+    stream.expires_at(aAttempt.mSentAt + aPlan.mPatience);
+  }
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   co_await http::async_read(
     stream, aConnection.mBuffer, parser, CaptureError(error));
-  aAttempt.mEndedAt = Clock::now();
+  aAttempt.mEndedAt = aConnection.mIdleSince = Clock::now();
   aAttempt.mBegun = parser.got_some();
   if (!error) {
     aAttempt.mEnding = Ending::Answered;
     aResponse = parser.release();
     aAttempt.mStatus = aResponse.result_int();
   } else if (error == beast::error::timeout) {
-    aAttempt.mEnding = Ending::Overdue;
+    aAttempt.mEnding = patient ? Ending::Overdue : Ending::GaveUp;
   } else {
     const auto reset = co_await WasReset(stream);
     aAttempt.mEnding = reset ? Ending::Reset : Ending::Closed;
--- a/standins/soak/exchange.h
+++ b/standins/soak/exchange.h
@@ -18,6 +18,7 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   bool mUsed = false; // a request was sent on it
+  TimePoint mIdleSince = Clock::now();
 };
 
 using CallerConnectionPtr = std::unique_ptr<CallerConnection>;
@@ -33,12 +34,14 @@
 struct SendPlan
 {
   std::size_t mPieces = 1;
-  Duration mPause{}; // between pieces
+  Duration mPause{};                    // between pieces
+  Duration mPatience = Duration::max(); // after the last byte
 };
 
-// Sends the request and reads its response into aResponse. Sets how and when
-// it ended in aAttempt; the content of a response is left to the caller. The
-// connection may be used again after a response that does not end it.
+// Sends the request and reads its response into aResponse, until the caller's
+// patience ends or, as an overdue response, the deadline passes. Sets how and
+// when it ended in aAttempt; the content of a response is left to the caller.
+// The connection may be used again after a response that does not end it.
 auto Exchange(CallerConnection& aConnection,
               const Request& aRequest,
               SendPlan aPlan,
--- a/standins/soak/main.cc
+++ b/standins/soak/main.cc
@@ -27,6 +27,10 @@
 DEFINE_bool(pauses, false, "processes do not run for a while during stops");
 DEFINE_bool(slow_store, false, "the store is slow at times");
 DEFINE_bool(silences, false, "sound endpoints are silent for up to 1.5 s");
+DEFINE_bool(moves,
+            false,
+            "documents move and split routes and change limits and keys; "
+            "callers state times of their own");
 DEFINE_uint32(slots, 64, "slots of each endpoint");
 
 namespace mangovalve::standin {
@@ -66,6 +70,7 @@
   options.mSlowStore = FLAGS_slow_store;
   options.mPauses = FLAGS_pauses;
   options.mSilences = FLAGS_silences;
+  options.mMoves = FLAGS_moves;
   options.mSlots = FLAGS_slots;
   return options;
 }
--- a/standins/soak/planned_work.cc
+++ b/standins/soak/planned_work.cc
@@ -1,43 +1,15 @@
-// Planned work of a soak: stops, changed settings and new documents.
+// Planned work of a soak: stops and changed settings.
 #include <csignal>
 #include <fstream>
 
 #include <absl/strings/str_cat.h>
 
-#include "platform/names.h"
 #include "standins/soak/soak.h"
 
 namespace mangovalve::standin {
 namespace {
 
 using std::chrono::milliseconds;
-using Json = nlohmann::json;
-
-auto Route(const std::string& aName,
-           const std::string& aKind,
-           const std::string& aService,
-           std::uint64_t aTimeoutMs) -> Json
-{
-  return { { "name", aName },
-           { "host", "h.example" },
-           { "pathPrefix", "/" + aName + "/" },
-           { "kind", aKind },
-           { "timeoutMs", aTimeoutMs },
-           { "sloMs", 300 },
-           { "service", aService },
-           { "maxAttempts", 3 },
-           { "gapAimMs", 400 } };
-}
-
-auto BatchRoute() -> Json
-{
-  constexpr std::uint64_t kTimeoutMs = 5000;
-  auto route = Route("lex", "batch", "quick", kTimeoutMs);
-  route["dueMs"] = 60000;
-  route["maxQueueS"] = 300;
-  route["maxQueuedTokens"] = 0;
-  return route;
-}
 
 } // namespace
 
@@ -59,41 +31,6 @@
   std::rename(temporary.c_str(), process.mSettingsPath.c_str());
 }
 
-auto Soak::Publish() -> void
-{
-  mVersion += 1 + UniformBelow(mRandom, 3);
-  auto routes = Json::array();
-  constexpr std::uint64_t kTimeoutMs = 6000;
-  constexpr std::uint64_t kTimeoutRange = 3000;
-  for (const auto& route : SoakRoutes()) {
-    routes.push_back(Route(route.mName,
-                           route.mKind,
-                           route.mService,
-                           kTimeoutMs + UniformBelow(mRandom, kTimeoutRange)));
-    routes.back()["resumable"] = route.mResumable;
-  }
-  routes.push_back(BatchRoute());
-  for (const auto& name : mExtraRoutes) {
-    routes.push_back(Route(name, "idempotent", "app", kTimeoutMs));
-  }
-  auto services = Json::array();
-  for (const auto* name : { "quick", "slow", "app", "work" }) {
-    services.push_back({ { "name", name }, { "maxConns", 1000 } });
-  }
-  const Json document = { { "version", mVersion },
-                          { "routes", routes },
-                          { "services", services },
-                          { "tenants",
-                            Json::array({ { { "name", "red" },
-                                            { "apiKeys", { "red-key" } },
-                                            { "ratePerS", 0 },
-                                            { "burst", 0 } } }) } };
-  mStore.Put(platform::kConfigurationTopic,
-             platform::kConfigurationKey,
-             document.dump());
-  ++mCounts["documents"];
-}
-
 auto Soak::DoPlannedWork() -> Task<>
 {
   const auto until = Clock::now() + mOptions.mPlannedWork;
@@ -260,23 +197,6 @@
   }
 }
 
-auto Soak::PublishSeries() -> Task<>
-{
-  constexpr std::uint64_t kMostVersions = 12;
-  constexpr std::size_t kMostRoutes = 40;
-  constexpr auto kMostPause = milliseconds(80);
-  const auto versions = 1 + UniformBelow(mRandom, kMostVersions);
-  for (std::size_t i = 0; i < versions; ++i) {
-    if (mExtraRoutes.size() < kMostRoutes && Chance(mRandom, 70)) {
-      mExtraRoutes.push_back(absl::StrCat("x", mVersion));
-    } else if (!mExtraRoutes.empty()) {
-      mExtraRoutes.erase(mExtraRoutes.begin());
-    }
-    Publish();
-    co_await SleepUntil(Clock::now() + RandomTime(mRandom, kMostPause));
-  }
-}
-
 auto Soak::DisturbStore() -> Task<>
 {
   constexpr auto kMostDelay = milliseconds(400);
--- a/standins/soak/soak.cc
+++ b/standins/soak/soak.cc
@@ -60,19 +60,6 @@
 
 } // namespace
 
-auto SoakRoutes() -> const std::vector<SoakRoute>&
-{
-  static const std::vector<SoakRoute> routes = {
-    { "short", "streaming", "quick", 8, true },
-    { "long", "streaming", "slow", 30, true },
-    { "once", "streaming", "quick", 8, false },
-    { "plain", "idempotent", "app", 0, false },
-    { "pay", "non_idempotent", "app", 0, false },
-    { "work", "non_idempotent", "work", 0, false },
-  };
-  return routes;
-}
-
 auto RandomTime(Random& aRandom, milliseconds aMost) -> Duration
 {
   return milliseconds(
@@ -130,10 +117,14 @@
   auto work = plain;
   work.mWork = milliseconds(600);
   auto started = true;
+  const std::pair<std::string, EndpointOptions> services[] = {
+    { "quick", quick }, { "slow", slow }, { "app", plain }, { "work", work }
+  };
   for (int i = 0; i < 3; ++i) {
-    started = started && AddEndpoint("quick", quick) &&
-              AddEndpoint("slow", slow) && AddEndpoint("app", plain) &&
-              AddEndpoint("work", work);
+    for (const auto& [service, options] : services) {
+      started = started && AddEndpoint(service, options) &&
+                (!mOptions.mMoves || AddEndpoint(TwinOf(service), options));
+    }
   }
   return started;
 }
@@ -356,26 +347,38 @@
   for (std::size_t i = 0; i < mEndpoints.size(); ++i) {
     for (const auto& run : mEndpoints[i].mRuns) {
       const auto ended = run.mEndedAt != TimePoint{};
-      runs[run.mId].push_back(
-        { i, run.mAt, ended ? run.mEndedAt : Clock::now() });
+      runs[run.mId].push_back({ i,
+                                run.mAt,
+                                ended ? run.mEndedAt : Clock::now(),
+                                mRegistrations[i]["service"] });
     }
   }
   for (auto& attempt : mAttempts) {
     attempt.mStalled = StalledWithin(attempt.mSentAt, attempt.mEndedAt);
+    ApplyDocuments(attempt, runs[attempt.mId], mDocuments);
     const auto problem = Judge(attempt, runs[attempt.mId], mOptions.mRules);
     if (problem) {
       Violate(absl::StrCat(attempt.mHost,
                            " request ",
                            attempt.mId,
+                           " ",
+                           attempt.mRoute,
                            attempt.mFirst ? " (first)" : "",
                            ": ",
-                           *problem),
+                           *problem,
+                           " [",
+                           Describe(attempt, runs[attempt.mId]),
+                           "]"),
               attempt.mEndedAt);
     }
     ++mCounts["requests"];
     const auto refused = IsRefusal(attempt.mStatus);
+    const auto timedOut = attempt.mStatus == 504 && !problem;
     mCounts["answered"] +=
-      attempt.mEnding == Ending::Answered && !refused ? 1 : 0;
+      attempt.mEnding == Ending::Answered && !refused && !timedOut ? 1 : 0;
+    mCounts["timed_out"] += timedOut ? 1 : 0;
+    mCounts["unknown_route"] += attempt.mStatus == 404 && !problem ? 1 : 0;
+    mCounts["gave_up"] += attempt.mEnding == Ending::GaveUp ? 1 : 0;
     mCounts["refused"] += refused ? 1 : 0;
     mCounts["no_connection"] += attempt.mEnding == Ending::NoConnection ? 1 : 0;
     mCounts["unsent"] += attempt.mEnding == Ending::Unsent ? 1 : 0;
@@ -394,10 +397,11 @@
       continue;
     }
     absl::StrAppendFormat(&text,
-                          "%s %s %s ending=%d first=%d after_us=%d\n",
+                          "%s %s %s %s ending=%d first=%d after_us=%d\n",
                           WallTime(attempt.mEndedAt),
                           attempt.mHost,
                           attempt.mId,
+                          attempt.mRoute,
                           static_cast<int>(attempt.mEnding),
                           static_cast<int>(attempt.mFirst),
                           std::chrono::duration_cast<std::chrono::microseconds>(
--- a/standins/soak/soak.h
+++ b/standins/soak/soak.h
@@ -30,6 +30,7 @@
   bool mSlowStore = false;
   bool mPauses = false;      // processes do not run for a while during stops
   bool mSilences = false;    // sound endpoints are silent for a while
+  bool mMoves = false;       // documents change all that they may change
   std::uint32_t mSlots = 64; // of each endpoint
 };
 
@@ -62,6 +63,7 @@
   TimePoint mIdleUntil{};
   CallerConnectionPtr mConnection;
   std::size_t mHost = 0;
+  pid_t mPid = -1; // of the host when it connected
 };
 
 struct SoakJob
@@ -77,16 +79,6 @@
   TimePoint mUntil;
 };
 
-// A kind of request, served by a route of the same name.
-struct SoakRoute
-{
-  std::string mName;
-  std::string mKind;
-  std::string mService;
-  std::uint32_t mEvents = 0; // of its streams; 0: plain responses
-  bool mResumable = false;
-};
-
 class Soak
 {
 public:
@@ -124,7 +116,6 @@
 
   // planned_work.cc
   auto WriteSettings(const SoakHost& aHost, int aKeepResults) -> void;
-  auto Publish() -> void;
   auto DoPlannedWork() -> Task<>;
   auto Terminate(std::size_t aHost) -> void;
   auto StopSome() -> void;
@@ -132,16 +123,23 @@
   auto Pause(std::size_t aHost) -> Task<>;
   auto StopAgain(std::size_t aHost) -> Task<>;
   auto ReloadSome() -> Task<>;
-  auto PublishSeries() -> Task<>;
   auto DisturbStore() -> Task<>;
   auto SilenceEndpoints() -> Task<>;
 
+  // publishing.cc
+  auto ChooseTerms(const SoakRoute& aRoute) -> SoakTerms;
+  auto Publish() -> void;
+  auto PublishSeries() -> Task<>;
+  auto WakeAtOldLimit() -> void;
+
   // callers.cc
   auto ChooseHost(Random& aRandom) -> std::size_t;
   auto NextId(const char* aPrefix) -> std::string;
+  auto ChooseRoute(Random& aRandom) const -> SoakRoute;
   auto RunCaller(SoakCaller& aCaller) -> Task<>;
   auto AskOnce(std::size_t aHost, Duration aDelay, std::uint64_t aSeed)
     -> Task<>;
+  auto LongestIdle() const -> Duration;
   auto Idle(SoakCaller& aCaller, Duration aTime) -> Task<>;
   auto Reconnect(SoakCaller& aCaller) -> Task<bool>;
   auto Ask(SoakCaller& aCaller) -> Task<>;
@@ -163,7 +161,7 @@
   std::vector<nlohmann::json> mRegistrations; // of mEndpoints, same order
   std::deque<SoakHost> mHosts;
   std::deque<SoakCaller> mCallers;
-  std::uint64_t mVersion = 0; // of the document
+  std::vector<SoakDocument> mDocuments; // in the order of publication
   std::vector<std::string> mExtraRoutes;
   std::uint64_t mNextId = 1;
   std::size_t mActive = 0; // tasks of callers that have not ended
@@ -176,8 +174,13 @@
   std::map<std::string, std::uint64_t> mCounts;
 };
 
-// Routes that are never changed in a way that callers notice.
-auto SoakRoutes() -> const std::vector<SoakRoute>&;
+// Prefix of the names of routes that come and go.
+constexpr auto kExtraRoute = "x";
+
+auto ExtraRoute(const std::string& aName) -> SoakRoute;
+
+// The service that may serve the routes of another one.
+auto TwinOf(const std::string& aService) -> std::string;
 
 // A time between 0 and aMost.
 auto RandomTime(Random& aRandom, std::chrono::milliseconds aMost) -> Duration;
