Ask again whether a queued request ends before the exit

Callers saw: a request that waited for a slot when the host was told to stop was sent 0.2 s before the exit and got 504, though it could have been refused as not run. One that may not be repeated is lost that way.

Change: asked again when the slot is there, unless an endpoint may have run the request.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -385,6 +385,11 @@
       co_await EndForGoneCaller();
       co_return;
     }
+    if (mContext.mAttempts == 0 &&
+        !EndsBeforeExit(mState, mContext.mDeadline)) {
+      co_await Finish(RefusalReason::NotReady, std::nullopt);
+      co_return;
+    }
     if (!slot.mEndpoint || Stopped()) {
       co_await Finish(Failure(), slot.mRetryAfter);
       co_return;
