Examine a lost run only until the request must be answered

Callers saw: a request whose endpoint reset the connection just before the exit of a stopping host, and could not be reached any more, got no answer.

Cause: the probe of the endpoint lasted up to 170 ms whatever was left.

Change: it ends at the request's deadline or the exit.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -271,8 +271,8 @@
   LostRun run{ mContext.mMetadata.mId,
                *mContext.mLostAt,
                mContext.mMetadata.mSharedParts };
-  const auto crashed =
-    co_await RecordIfCrashed(mState, std::move(aEndpoint), std::move(run));
+  const auto crashed = co_await RecordIfCrashed(
+    mState, std::move(aEndpoint), std::move(run), Deadline());
   const auto suspected = crashed && IsSuspected(mState.mSuspects,
                                                 mContext.mMetadata.mSharedParts,
                                                 mState.mSuspectPolicy,
--- a/mangovalve/serving/endpoint_crash.cc
+++ b/mangovalve/serving/endpoint_crash.cc
@@ -35,7 +35,7 @@
   auto connection =
     co_await aState.mPool.Acquire(address, TimePoint::max(), aDeadline);
   if (connection) {
-    co_await SleepUntil(Clock::now() + kEndOfProcess);
+    co_await SleepUntil(std::min(Clock::now() + kEndOfProcess, aDeadline));
     aState.mPool.Release(std::move(*connection),
                          Clock::now() + kIdleTime,
                          IdleConnectionLimit(aState, aEndpoint));
@@ -88,15 +88,17 @@
          aError == asio::error::broken_pipe;
 }
 
-auto RecordIfCrashed(ServingState& aState, EndpointPtr aEndpoint, LostRun aRun)
-  -> Task<bool>
+auto RecordIfCrashed(ServingState& aState,
+                     EndpointPtr aEndpoint,
+                     LostRun aRun,
+                     TimePoint aDeadline) -> Task<bool>
 {
   const auto now = Clock::now();
   if (aRun.mSharedParts.empty() || IsLeaving(*aEndpoint, now)) {
     co_return false;
   }
-  const auto refuses =
-    co_await RefusesConnections(aState, *aEndpoint, now + kProbeTimeout);
+  const auto refuses = co_await RefusesConnections(
+    aState, *aEndpoint, std::min(now + kProbeTimeout, aDeadline));
   if (!refuses || IsLeaving(*aEndpoint, Clock::now())) {
     co_return false;
   }
--- a/mangovalve/serving/endpoint_crash.h
+++ b/mangovalve/serving/endpoint_crash.h
@@ -32,8 +32,10 @@
 // endpoint has crashed. Returns whether it has. An endpoint that is leaving
 // ends connections too, so it never counts as crashed, and neither does one
 // that can't be reached.
-auto RecordIfCrashed(ServingState& aState, EndpointPtr aEndpoint, LostRun aRun)
-  -> Task<bool>;
+auto RecordIfCrashed(ServingState& aState,
+                     EndpointPtr aEndpoint,
+                     LostRun aRun,
+                     TimePoint aDeadline) -> Task<bool>;
 
 // End of the quarantine of requests with these parts; empty if there is none.
 auto QuarantinedUntil(const CrashSuspects& aSuspects,
--- a/mangovalve/serving/endpoint_crash_test.cc
+++ b/mangovalve/serving/endpoint_crash_test.cc
@@ -47,7 +47,7 @@
       mLoop,
       [](Setup& aSetup, LostRun aRun, std::optional<bool>& aInto) -> Task<> {
         aInto = co_await RecordIfCrashed(
-          aSetup.mState, aSetup.mEndpoint, std::move(aRun));
+          aSetup.mState, aSetup.mEndpoint, std::move(aRun), TimePoint::max());
       }(*this, std::move(run), crashed));
     const auto deadline = Clock::now() + kCaseDeadline;
     while (!crashed) {
