Let callers of a stopping host without a document return at once

A host that stops before it has a document refused with Retry-After 1.5, the delay for a store that is unavailable, although another host may serve.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -912,7 +912,9 @@
   co_await aCaller->Reply(
     mProtocol.mRefuse(RefusalReason::NotReady,
                       aMetadata.mId,
-                      starting ? kStartupRetryAfter : kNoDocumentRetryAfter));
+                      mState.mAnswerBy ? kStoppingRetryAfter
+                      : starting       ? kStartupRetryAfter
+                                       : kNoDocumentRetryAfter));
 }
 
 auto Relay::Serve(CallerPtr aCaller,
