Bound the calls to the store of a host that stops

Callers saw: with a silent store and a grace period of 1 or 2 s, the process was killed with its listener open.

Cause: recorded results and the end of the group membership were given up to 2.3 s before the connections were drained, and the last call up to 0.8 s after the end of all requests, of which 0.7 s are left.

Change: both have deadlines from the schedule of the stop.

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -316,7 +316,7 @@
   }
 }
 
-auto JobService::Drain(TimePoint aUntil) -> Task<>
+auto JobService::Drain(TimePoint aFlushUntil, TimePoint aDeadline) -> Task<>
 {
   mRunner.Pause();
   mRunner.StopAll();
@@ -327,13 +327,13 @@
                return aEntry.second->Active() && !aEntry.second->Flushed();
              });
   };
-  while (busy() && Clock::now() < aUntil) {
+  while (busy() && Clock::now() < aFlushUntil) {
     co_await SleepUntil(Clock::now() + kFlushPoll);
   }
   mLeaving = true;
   ReleaseAll();
-  const auto left =
-    co_await mTables.mLeave(mState.mHost, Clock::now() + mPolicy.mCallTimeout);
+  const auto left = co_await mTables.mLeave(
+    mState.mHost, std::min(aDeadline, Clock::now() + mPolicy.mCallTimeout));
   if (!left) {
     LogEvent(Severity::Warn, "group_leave_failed");
   }
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -68,10 +68,11 @@
   // Adds the owned partitions to a load report.
   auto AddOwnedPartitions(wire::LoadReportT& aReport) const -> void;
 
-  // Stops all items, waits until all enqueued records are durable or aUntil has
-  // passed, and releases the partitions. Their next owners can query the
-  // progress of the items until the process ends.
-  auto Drain(TimePoint aUntil) -> Task<>;
+  // Stops all items, waits until all enqueued records are durable or
+  // aFlushUntil has passed, and releases the partitions; returns by aDeadline.
+  // Their next owners can query the progress of the items until the process
+  // ends.
+  auto Drain(TimePoint aFlushUntil, TimePoint aDeadline) -> Task<>;
 
   // Bound of the time from a caller's request to its response, whatever the
   // request asks for and the owner of its job does.
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -59,6 +59,10 @@
 // about 10 ms, and several times that when the store is slow.
 constexpr auto kResultFlushTime = milliseconds(800);
 
+// Time after the end of all requests for the last call to the store; less than
+// StopPolicy::mExitMargin.
+constexpr auto kFinalCallTime = milliseconds(400);
+
 // Requests that still run this much before the exit are answered with a
 // failure, so that they do not end without an answer.
 constexpr auto kAnswerBeforeExit = milliseconds(100);
@@ -548,23 +552,22 @@
   }
 }
 
-auto ServingDaemon::WriteHostRecord(bool aPresent) -> Task<bool>
+auto ServingDaemon::WriteHostRecord(bool aPresent, TimePoint aDeadline)
+  -> Task<bool>
 {
   std::vector<KeyedRecord> records;
   records.push_back(
     { mState.mHost, aPresent ? mSettings.mFailureDomain : "", 0 });
-  const auto done = co_await mTables.mAppend(Table::Hosts,
-                                             0,
-                                             std::move(records),
-                                             std::nullopt,
-                                             Clock::now() + kPeerTimeout);
+  const auto done = co_await mTables.mAppend(
+    Table::Hosts, 0, std::move(records), std::nullopt, aDeadline);
   co_return done.has_value();
 }
 
 auto ServingDaemon::RegisterHost() -> Task<>
 {
   while (!mDraining) {
-    const auto done = co_await WriteHostRecord(true);
+    const auto done =
+      co_await WriteHostRecord(true, Clock::now() + kPeerTimeout);
     if (done) {
       co_return;
     }
@@ -572,9 +575,9 @@
   }
 }
 
-auto ServingDaemon::UnregisterHost() -> Task<>
+auto ServingDaemon::UnregisterHost(TimePoint aDeadline) -> Task<>
 {
-  const auto done = co_await WriteHostRecord(false);
+  const auto done = co_await WriteHostRecord(false, aDeadline);
   if (!done) {
     LogEvent(Severity::Warn, "unregister_failed");
   }
@@ -674,10 +677,14 @@
            { { "active", absl::StrCat(mCallers.ActiveRequests()) } });
   mCallers.CloseAfterResponses();
   Spawn(mLoop, EndRequests(*mState.mAnswerBy));
-  co_await mJobs.Drain(started + kResultFlushTime);
+  co_await mJobs.Drain(
+    std::min<TimePoint>(started + kResultFlushTime, schedule.mCloseBy),
+    schedule.mCloseBy);
   // A named object, because g++ 12 destroys a braced argument of an awaited
   // call twice.
-  FinalCall unregister = [this] { return UnregisterHost(); };
+  FinalCall unregister = [this, by = schedule.mExitBy + kFinalCallTime] {
+    return UnregisterHost(by);
+  };
   co_await DrainConnections(mCallers, policy, schedule, std::move(unregister));
   const auto left = mCallers.CountConnections();
   auto fields = LogFields(left);
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -87,9 +87,9 @@
   auto CopyStateFrom(std::string aPeer, bool aWhole) -> Task<>;
   auto LoadStateFromPeers() -> Task<>;
   // Writes this daemon's record in Table::Hosts, or deletes it.
-  auto WriteHostRecord(bool aPresent) -> Task<bool>;
+  auto WriteHostRecord(bool aPresent, TimePoint aDeadline) -> Task<bool>;
   auto RegisterHost() -> Task<>;
-  auto UnregisterHost() -> Task<>;
+  auto UnregisterHost(TimePoint aDeadline) -> Task<>;
   auto RunMaintenance() -> Task<>;
   auto FetchNewerDocument(TimePoint aNow) -> void;
   auto UseSettings() -> void;
