--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -955,6 +955,10 @@
   }
   context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
   context.mDeadline = DeadlineOf(context);
+  if (context.mDeadline <= Clock::now()) {
+    co_await refuse(RefusalReason::Overloaded, kRefusedRetryAfter);
+    co_return;
+  }
   if (!EndsBeforeExit(mState, context.mDeadline)) {
     co_await refuse(RefusalReason::NotReady, kStoppingRetryAfter);
     co_return;
