--- a/mangovalve/serving/endpoint_crash.h
+++ b/mangovalve/serving/endpoint_crash.h
@@ -31,7 +31,7 @@
 // Connects to the endpoint that has lost a run, and records the run if the
 // endpoint has crashed. Returns whether it has. An endpoint that is leaving
 // ends connections too, so it never counts as crashed, and neither does one
-// that can't be reached.
+// that can't be reached or of which this is not known by aDeadline.
 auto RecordIfCrashed(ServingState& aState,
                      EndpointPtr aEndpoint,
                      LostRun aRun,
