--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -261,6 +261,7 @@
     co_return Err(error);
   }
   SetOptions(connection->mStream.socket());
+  connection->mNumber = ++mOpened;
   co_return connection;
 }
 
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -5,6 +5,7 @@
 // left this process, so that the caller can decide on a retry.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -42,6 +43,7 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer{ kMaxBufferBytes };
   std::string mAddress;
+  std::uint64_t mNumber = 0; // in this pool, for the log
   bool mReused = false;
   TimePoint mIdleSince{};
   // The server may close the idle connection from this time on.
@@ -87,6 +89,7 @@
     -> ClientConnectionPtr;
 
   asio::io_context& mLoop;
+  std::uint64_t mOpened = 0; // connections, ever
   // Most recently used at the back.
   absl::flat_hash_map<std::string, std::deque<ClientConnectionPtr>> mIdle;
 };
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -677,6 +677,7 @@
              "stray_answer",
              { { "id", mContext.mMetadata.mId },
                { "answers", metadata.mId },
+               { "connection", absl::StrCat(aConnection.mNumber) },
                { "endpoint", aEndpoint.mRegistration.mId } });
     const auto bodyError =
       co_await DiscardBody(aConnection, *aParser, SilenceDeadline());
@@ -707,6 +708,7 @@
              "endpoint_refused",
              { { "id", mContext.mMetadata.mId },
                { "endpoint", aEndpoint.mRegistration.mId },
+               { "connection", absl::StrCat(aConnection.mNumber) },
                { "status", absl::StrCat(status) } });
     RecordExchange(mState,
                    aEndpoint,
