Tests: endpoints that send a refusal once more, late

The stand-in refuses each id when it first arrives, and writes a copy of the refusal just before the next answer on the connection.

--- a/standins/common/endpoint_server.cc
+++ b/standins/common/endpoint_server.cc
@@ -144,18 +144,20 @@
     co_return;
   }
   mArrivals.push_back(Clock::now());
+  co_await RepeatRefusal(aCaller);
   const auto id = HeaderText(*aRequest, "Request-Id");
   const auto expected = HeaderText(*aRequest, "Expect-Instance");
   if (!expected.empty() && expected != mOptions.mId) {
-    auto refusal = Refusal(421, id);
-    AddStatements(refusal.base());
-    co_await aCaller->Reply(std::move(refusal));
+    co_await Refuse(aCaller, 421, id);
     co_return;
   }
-  if (mFaults.mRefuse || mRunning >= mOptions.mSlots + mOptions.mQueue) {
-    auto refusal = Refusal(503, id);
-    AddStatements(refusal.base());
-    co_await aCaller->Reply(std::move(refusal));
+  if (mRunning >= mOptions.mSlots + mOptions.mQueue) {
+    co_await Refuse(aCaller, 503, id);
+    co_return;
+  }
+  if (mFaults.mRefuse ||
+      (mFaults.mRefuseFirst && mRefusedOnce.insert(id).second)) {
+    co_await Refuse(aCaller, mFaults.mRefusalStatus, id);
     co_return;
   }
   if (mFaults.mHopeless.contains(id)) {
@@ -173,6 +175,27 @@
   mCancelled += aCaller->Disconnected() ? 1 : 0;
 }
 
+auto EndpointServer::Refuse(CallerPtr aCaller,
+                            unsigned aStatus,
+                            const std::string& aId) -> Task<>
+{
+  auto refusal = Refusal(aStatus, aId);
+  AddStatements(refusal.base());
+  if (mFaults.mCopyRefusals) {
+    mCopies[aCaller] = refusal;
+  }
+  co_await aCaller->Reply(std::move(refusal));
+}
+
+auto EndpointServer::RepeatRefusal(CallerPtr aCaller) -> Task<>
+{
+  auto found = mCopies.extract(aCaller);
+  if (!found.empty()) {
+    ++mCopiesSent;
+    co_await aCaller->Reply(std::move(found.mapped()));
+  }
+}
+
 auto EndpointServer::Run(CallerPtr aCaller, const Request& aRequest) -> Task<>
 {
   EndpointRun run;
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,10 @@
   std::uint32_t mStrayAnswers = 0; // second answers to the next requests
   unsigned mStatus = 0;            // answers with it, signed, after running
   bool mRefuse = false;            // refuses as not run
+  bool mRefuseFirst = false;       // likewise, each id when it first arrives
+  unsigned mRefusalStatus = 503;   // of these refusals
+  // Writes a copy of a refusal just before the next answer on the connection.
+  bool mCopyRefusals = false;
   bool mUnsigned = false;          // successes without a signature
   std::set<std::string> mHopeless; // ids answered as impossible
   // Crashes instead of sending the first event of a request whose prompt has
@@ -80,9 +85,14 @@
   std::uint32_t mMostRunning = 0;
   std::uint32_t mCancelled = 0; // runs whose sender left before their end
   std::uint32_t mCrashes = 0;
+  std::uint32_t mCopiesSent = 0; // of refusals
 
 private:
   auto Handle(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
+  auto Refuse(CallerPtr aCaller, unsigned aStatus, const std::string& aId)
+    -> Task<>;
+  // Writes the copy of the last refusal on the connection, if there is one.
+  auto RepeatRefusal(CallerPtr aCaller) -> Task<>;
   auto Run(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   auto Answer(CallerPtr aCaller, const Request& aRequest) -> Task<>;
   // Waits for at least aTime, and until the endpoint is not silent.
@@ -97,7 +107,10 @@
   AsyncHttpServer mServer;
   std::string mAddress;
   std::set<CallerPtr> mCallers; // with a running request
-  bool mDown = false;           // between a crash and the recovery
+  // Refusals of which a copy is due, by connection.
+  std::map<std::weak_ptr<Caller>, Response, std::owner_less<>> mCopies;
+  std::set<std::string> mRefusedOnce; // ids, with mRefuseFirst
+  bool mDown = false;                 // between a crash and the recovery
 };
 
 // The data of event aNumber of the request, the same at every endpoint.
