Never use a connection again for an id that was refused on it

Cause: the relay gave a connection back to the pool after a refusal. When the request came again under its id, it got that connection, and a late copy of the refusal passed for its answer: it counted as not run, although it ran.

A connection now bars the ids of requests that may come again, so the copy always bears the id of another request and is passed over. The item runner, which closed its connection for the same reason, does likewise.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -448,7 +448,8 @@
   auto connection =
     co_await mState.mPool.Acquire(endpoint.mRegistration.mAddress,
                                   TimePoint::min(),
-                                  Clock::now() + mPolicy.mConnectTimeout);
+                                  Clock::now() + mPolicy.mConnectTimeout,
+                                  item.mSubmitted.id);
   if (!connection) {
     RecordExchange(mState, endpoint, ExchangeResult::Refused);
     co_return RunOutcome::Interrupted;
@@ -489,6 +490,9 @@
   }
   aRun->mStop = nullptr;
   if (!aRun->mStopped && parser && parser->is_done()) {
+    if (outcome != RunOutcome::Completed) {
+      BarId(**connection, item.mSubmitted.id);
+    }
     const auto usableUntil = ReusableUntil(**connection, *parser, Clock::now());
     mState.mPool.Release(std::move(*connection),
                          usableUntil,
@@ -518,9 +522,6 @@
     co_return RecordFailure(aRun, "response without an id");
   }
   if (metadata.mNotExecuted || metadata.mWrongEndpoint) {
-    // The item may come back under the same id, so a copy of this refusal could
-    // be taken for the answer then.
-    aConnection.mStream.close();
     RecordExchange(mState,
                    *aRun.mEndpoint,
                    metadata.mWrongEndpoint ? ExchangeResult::Leaving
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "mangovalve/base/id.h"
 #include "mangovalve/loop/request_check.h"
 #include "mangovalve/loop/run_loop.h"
 #include "mangovalve/telemetry/counters.h"
@@ -58,6 +59,14 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+auto IsBarred(const ClientConnection& aConnection, std::string_view aId) -> bool
+{
+  const auto& barred = aConnection.mBarredIds;
+  return !barred.empty() &&
+         std::find(barred.begin(), barred.end(), StableHash(aId)) !=
+           barred.end();
+}
+
 // Idle timeout, in seconds, of a Keep-Alive header such as "timeout=N, max=M".
 auto KeepAliveTimeout(std::string_view aValue) -> std::optional<int>
 {
@@ -215,8 +224,14 @@
   return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
-auto ConnectionPool::TakeIdle(const std::string& aAddress, TimePoint aIdleAfter)
-  -> ClientConnectionPtr
+auto BarId(ClientConnection& aConnection, std::string_view aId) -> void
+{
+  aConnection.mBarredIds.push_back(StableHash(aId));
+}
+
+auto ConnectionPool::TakeIdle(const std::string& aAddress,
+                              TimePoint aIdleAfter,
+                              std::string_view aId) -> ClientConnectionPtr
 {
   const auto found = mIdle.find(aAddress);
   if (found == mIdle.end()) {
@@ -224,28 +239,34 @@
   }
   const auto now = Clock::now();
   auto& idle = found->second;
-  while (!idle.empty()) {
-    if (idle.back()->mIdleSince < aIdleAfter) {
+  for (auto i = idle.size(); i-- > 0;) {
+    if (idle[i]->mIdleSince < aIdleAfter) {
       return nullptr;
     }
-    auto connection = std::move(idle.back());
-    idle.pop_back();
+    if (IsBarred(*idle[i], aId)) {
+      continue;
+    }
+    auto connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (now < connection->mUsableUntil &&
         HasNoPendingInput(connection->mStream.socket())) {
       connection->mReused = true;
       return connection;
     }
   }
-  mIdle.erase(found);
+  if (idle.empty()) {
+    mIdle.erase(found);
+  }
   return nullptr;
 }
 
 auto ConnectionPool::Acquire(std::string aAddress,
                              TimePoint aIdleAfter,
-                             TimePoint aDeadline)
+                             TimePoint aDeadline,
+                             std::string_view aId)
   -> Task<Result<ClientConnectionPtr, ErrorCode>>
 {
-  if (auto idle = TakeIdle(aAddress, aIdleAfter)) {
+  if (auto idle = TakeIdle(aAddress, aIdleAfter, aId)) {
     co_return idle;
   }
   const auto endpoint = ParseAddress(aAddress);
@@ -270,7 +291,7 @@
                              std::size_t aMaxIdle) -> void
 {
   const auto now = Clock::now();
-  if (aUsableUntil <= now) {
+  if (aUsableUntil <= now || aConnection->mBarredIds.size() >= kMaxBarredIds) {
     return;
   }
   aConnection->mStream.expires_never();
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -48,8 +50,19 @@
   TimePoint mIdleSince{};
   // The server may close the idle connection from this time on.
   TimePoint mUsableUntil{};
+  // Hashes of the ids that are barred from this connection; at most
+  // kMaxBarredIds when it is idle.
+  std::vector<std::uint64_t> mBarredIds;
 };
 
+// Ids that are barred from one connection. It is closed when it has as many.
+constexpr std::size_t kMaxBarredIds = 32;
+
+// Bars the request with this id from using the connection again. To be called
+// for a request that may come again under its id: a late copy of the answer to
+// its first exchange could not be told from the answer to the second one.
+auto BarId(ClientConnection& aConnection, std::string_view aId) -> void;
+
 // Idle connections to one address. It is twice the number of requests that an
 // engine runs concurrently.
 constexpr std::size_t kMaxIdleConnections = 16;
@@ -64,9 +77,13 @@
   {
   }
 
-  // Returns an idle connection that became idle at aIdleAfter or later, or a
-  // new one. After an error, nothing has been sent.
-  auto Acquire(std::string aAddress, TimePoint aIdleAfter, TimePoint aDeadline)
+  // Returns an idle connection that became idle at aIdleAfter or later and from
+  // which the request id aId is not barred, or a new one. aId must stay valid
+  // until then. After an error, nothing has been sent.
+  auto Acquire(std::string aAddress,
+               TimePoint aIdleAfter,
+               TimePoint aDeadline,
+               std::string_view aId = {})
     -> Task<Result<ClientConnectionPtr, ErrorCode>>;
 
   // Keeps a connection for reuse until aUsableUntil. Call it only after a
@@ -85,8 +102,9 @@
   auto CloseExpired(TimePoint aNow) -> void;
 
 private:
-  auto TakeIdle(const std::string& aAddress, TimePoint aIdleAfter)
-    -> ClientConnectionPtr;
+  auto TakeIdle(const std::string& aAddress,
+                TimePoint aIdleAfter,
+                std::string_view aId) -> ClientConnectionPtr;
 
   asio::io_context& mLoop;
   std::uint64_t mOpened = 0; // connections, ever
--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -47,6 +47,67 @@
   return *result;
 }
 
+// Acquires a connection for the request aId; it must succeed.
+auto Acquire(asio::io_context& aLoop,
+             ConnectionPool& aPool,
+             const std::string& aAddress,
+             std::string_view aId) -> ClientConnectionPtr
+{
+  std::optional<Result<ClientConnectionPtr, ErrorCode>> result;
+  Spawn(
+    aLoop,
+    [](ConnectionPool& aFrom,
+       std::string aTo,
+       std::string_view aFor,
+       std::optional<Result<ClientConnectionPtr, ErrorCode>>& aInto) -> Task<> {
+      aInto = co_await aFrom.Acquire(
+        aTo, TimePoint::min(), Clock::now() + kCaseDeadline, aFor);
+    }(aPool, aAddress, aId, result));
+  while (!result) {
+    aLoop.run_for(milliseconds(5));
+  }
+  REQUIRE(*result);
+  return std::move(**result);
+}
+
+// Guards against the late copy of an answer that is taken for the answer to a
+// later exchange of the same request.
+TEST_CASE("a request does not get a connection from which its id is barred")
+{
+  asio::io_context loop;
+  RawServer server(
+    loop,
+    [](RawServer&, Tcp::socket&, const Request&) -> Task<> { co_return; });
+  const auto address = FreeAddress();
+  REQUIRE_FALSE(server.Listen(address));
+  ConnectionPool pool(loop);
+  const auto release = [&](ClientConnectionPtr aConnection) {
+    pool.Release(std::move(aConnection), Clock::now() + kCaseDeadline);
+  };
+  auto connection = Acquire(loop, pool, address, "first");
+  const auto number = connection->mNumber;
+  BarId(*connection, "first");
+  release(std::move(connection));
+  auto other = Acquire(loop, pool, address, "first");
+  CHECK(other->mNumber != number);
+  release(std::move(other));
+  other = Acquire(loop, pool, address, "second");
+  CHECK(other->mNumber != number);
+  connection = Acquire(loop, pool, address, "second");
+  CHECK(connection->mNumber == number);
+  CHECK(connection->mReused);
+  // It stays in use until it has barred too many ids.
+  while (connection->mBarredIds.size() + 1 < kMaxBarredIds) {
+    BarId(*connection, std::to_string(connection->mBarredIds.size()));
+  }
+  release(std::move(connection));
+  connection = Acquire(loop, pool, address, "third");
+  REQUIRE(connection->mNumber == number);
+  BarId(*connection, "third");
+  release(std::move(connection));
+  CHECK(Acquire(loop, pool, address, "fourth")->mNumber != number);
+}
+
 TEST_CASE("interim responses are not taken for the answer")
 {
   asio::io_context loop;
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -50,6 +50,11 @@
     std::chrono::duration_cast<milliseconds>(aDuration).count());
 }
 
+auto IsSuccess(http::status aStatus) -> bool
+{
+  return http::to_status_class(aStatus) == http::status_class::successful;
+}
+
 auto Scaled(Duration aDuration, double aFactor) -> Duration
 {
   return std::chrono::duration_cast<Duration>(
@@ -485,7 +490,8 @@
   auto connection = co_await mState.mPool.Acquire(
     aEndpoint->mRegistration.mAddress,
     idleAfter,
-    std::min(Deadline(), now + mPolicy.mConnectTimeout));
+    std::min(Deadline(), now + mPolicy.mConnectTimeout),
+    mContext.mMetadata.mId);
   if (mContext.mCaller->Disconnected()) {
     co_return StepResult::Done;
   }
@@ -531,6 +537,9 @@
   }
   if (step == StepResult::Done || step == StepResult::NotRun) {
     if (parser) {
+      if (!IsSuccess(parser->get().result())) {
+        BarId(**connection, mContext.mMetadata.mId);
+      }
       const auto usableUntil =
         ReusableUntil(**connection, *parser, Clock::now());
       mState.mPool.Release(std::move(*connection),
@@ -721,7 +730,7 @@
     }
     co_return StepResult::NotRun;
   }
-  const auto success = status >= 200 && status < 300;
+  const auto success = IsSuccess(aParser.get().result());
   if (success && (!aMetadata.mSigned || aMetadata.mId.empty())) {
     NoteFailure(aEndpoint, "success without a signature or id");
     co_return StepResult::Failed;
@@ -765,9 +774,8 @@
     NoteFailure(aEndpoint, absl::StrCat("body: ", error.message()));
     co_return StepResult::Failed;
   }
-  const auto status = aParser.get().result_int();
-  const auto failed = status >= 500;
-  if (status >= 200 && status < 300) {
+  const auto failed = aParser.get().result_int() >= 500;
+  if (IsSuccess(aParser.get().result())) {
     NoteAnswerBegun();
   }
   RecordExchange(
