--- a/standins/common/endpoint_server.cc
+++ b/standins/common/endpoint_server.cc
@@ -234,6 +234,10 @@
     co_return;
   }
   co_await Work(mOptions.mWork);
+  if (!mFaults.mDeadlyBody.empty() && aRequest.body() == mFaults.mDeadlyBody) {
+    Crash(Clock::now() + mOptions.mRecovery);
+    co_return;
+  }
   Response response;
   response.base() =
     Head(aRequest, mFaults.mStatus == 0 ? 200 : mFaults.mStatus);
--- a/standins/common/endpoint_server.h
+++ b/standins/common/endpoint_server.h
@@ -44,6 +44,8 @@
   // Crashes instead of sending the first event of a request whose prompt has
   // this part, unless it is empty.
   std::string mDeadlyPart;
+  // Crashes instead of answering a plain request with this body, unless empty.
+  std::string mDeadlyBody;
   std::vector<std::string> mLimits; // values of the header that limits its rate
   bool mLeaving = false;            // says in its responses that it is leaving
 };
