Batch: pass over answers to other requests on an item's connection

Items were run at one endpoint twice at the same time, and the requests behind them waited or failed.

Cause: the item runner took an answer to another request, such as the late copy of a refusal, for the end of its own exchange. The answer had no body, so the connection counted as reusable and went back to the pool while the endpoint still ran the item. The item was sent again after its retry delay.

The item runner now discards such answers like the relay, and closes the connection when there are too many.

Evidence: 'an item gets its answer after the copy of another one's refusal' failed before (two overlapping runs of an item) and passes now. The other cases now require that copies were sent and that each request has run once. Refusals bar their id whatever their status.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -62,6 +62,45 @@
   return !selection.mGap;
 }
 
+// Whether the answer is the one to the request with this id. An answer without
+// an id on a reused connection may be a copy of an earlier one.
+auto Answers(const ResponseMetadata& aAnswer,
+             const std::string& aId,
+             const ClientConnection& aConnection) -> bool
+{
+  return aAnswer.mId.empty() ? !aConnection.mReused : aAnswer.mId == aId;
+}
+
+// Reads the head of the answer to the request with this id. Answers to other
+// requests are discarded, up to a limit; the one that exceeds it is returned.
+auto ReadAnswerHead(const Protocol& aProtocol,
+                    const std::string& aId,
+                    ClientConnection& aConnection,
+                    std::optional<ResponseParser>& aParser,
+                    TimePoint aDeadline) -> Task<ErrorCode>
+{
+  for (int discarded = 0;; ++discarded) {
+    auto error = co_await ReadHead(aConnection, aParser, aDeadline);
+    if (error) {
+      co_return error;
+    }
+    const auto answer = aProtocol.mReadResponse(aParser->get().base());
+    if (answer.mId.empty() || answer.mId == aId ||
+        discarded == kMaxDiscardedAnswers) {
+      co_return error;
+    }
+    LogEvent(Severity::Warn,
+             "stray_answer",
+             { { "id", aId },
+               { "answers", answer.mId },
+               { "connection", absl::StrCat(aConnection.mNumber) } });
+    error = co_await DiscardBody(aConnection, *aParser, aDeadline);
+    if (error) {
+      co_return error;
+    }
+  }
+}
+
 // Makes the next run of the item start with its first event.
 auto DiscardOutput(BatchItem& aItem) -> void
 {
@@ -478,8 +517,11 @@
     **connection, request, Clock::now() + mPolicy.mIdleTimeout);
   std::optional<ResponseParser> parser;
   if (!error) {
-    error = co_await ReadHead(
-      **connection, parser, Clock::now() + mPolicy.mIdleTimeout);
+    error = co_await ReadAnswerHead(mProtocol,
+                                    item.mSubmitted.id,
+                                    **connection,
+                                    parser,
+                                    Clock::now() + mPolicy.mIdleTimeout);
   }
   auto outcome = RunOutcome::Interrupted;
   if (error) {
@@ -514,12 +556,10 @@
   if (metadata.mId == item.mSubmitted.id) {
     RecordStatements(mState, *aRun.mEndpoint, metadata, Clock::now());
   }
-  if (!metadata.mId.empty() && metadata.mId != item.mSubmitted.id) {
-    co_return RecordFailure(aRun, "response has the id of another request");
-  }
-  // It may be a duplicate answer to an earlier request on this connection.
-  if (metadata.mId.empty() && aConnection.mReused) {
-    co_return RecordFailure(aRun, "response without an id");
+  if (!Answers(metadata, item.mSubmitted.id, aConnection)) {
+    // The item's own answer is still to come on this connection.
+    aConnection.mStream.close();
+    co_return RecordFailure(aRun, "response to another request");
   }
   if (metadata.mNotExecuted || metadata.mWrongEndpoint) {
     RecordExchange(mState,
--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -59,12 +59,11 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-auto IsBarred(const ClientConnection& aConnection, std::string_view aId) -> bool
+auto IsBarred(const ClientConnection& aConnection, std::uint64_t aIdHash)
+  -> bool
 {
   const auto& barred = aConnection.mBarredIds;
-  return !barred.empty() &&
-         std::find(barred.begin(), barred.end(), StableHash(aId)) !=
-           barred.end();
+  return std::find(barred.begin(), barred.end(), aIdHash) != barred.end();
 }
 
 // Idle timeout, in seconds, of a Keep-Alive header such as "timeout=N, max=M".
@@ -238,12 +237,13 @@
     return nullptr;
   }
   const auto now = Clock::now();
+  const auto idHash = StableHash(aId);
   auto& idle = found->second;
   for (auto i = idle.size(); i-- > 0;) {
     if (idle[i]->mIdleSince < aIdleAfter) {
       return nullptr;
     }
-    if (IsBarred(*idle[i], aId)) {
+    if (IsBarred(*idle[i], idHash)) {
       continue;
     }
     auto connection = std::move(idle[i]);
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -34,6 +34,12 @@
 // Body of a response that is read only to keep the connection in use.
 constexpr std::size_t kMaxDiscardedBytes = 64UL << 10U;
 
+// Number of answers to earlier requests that are discarded in one exchange.
+constexpr int kMaxDiscardedAnswers = 2;
+
+// Ids that are barred from one connection. It is closed when it has as many.
+constexpr std::size_t kMaxBarredIds = 32;
+
 // A connection used by one exchange at a time. The destructor closes it.
 struct ClientConnection
 {
@@ -45,22 +51,20 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer{ kMaxBufferBytes };
   std::string mAddress;
-  std::uint64_t mNumber = 0; // in this pool, for the log
+  std::uint64_t mNumber = 0; // in this pool
   bool mReused = false;
   TimePoint mIdleSince{};
   // The server may close the idle connection from this time on.
   TimePoint mUsableUntil{};
-  // Hashes of the ids that are barred from this connection; at most
+  // Hashes of the ids that are barred from this connection; fewer than
   // kMaxBarredIds when it is idle.
   std::vector<std::uint64_t> mBarredIds;
 };
 
-// Ids that are barred from one connection. It is closed when it has as many.
-constexpr std::size_t kMaxBarredIds = 32;
-
-// Bars the request with this id from using the connection again. To be called
-// for a request that may come again under its id: a late copy of the answer to
-// its first exchange could not be told from the answer to the second one.
+// Bars the request with this id from using the connection again, as long as the
+// connection is open. Call it for a request that may come again under its id: a
+// late copy of the answer to its first exchange could not be told from the
+// answer to the second one.
 auto BarId(ClientConnection& aConnection, std::string_view aId) -> void;
 
 // Idle connections to one address. It is twice the number of requests that an
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -41,9 +41,6 @@
 // complete, so that a truncated answer never reaches the caller.
 constexpr std::size_t kMaxAnswerBytes = 4UL << 20U;
 
-// Number of answers to earlier requests that are discarded on one connection.
-constexpr int kMaxDiscardedAnswers = 2;
-
 auto Millis(Duration aDuration) -> std::string
 {
   return absl::StrCat(
@@ -537,7 +534,8 @@
   }
   if (step == StepResult::Done || step == StepResult::NotRun) {
     if (parser) {
-      if (!IsSuccess(parser->get().result())) {
+      // Callers repeat no request after a success.
+      if (step == StepResult::NotRun || !IsSuccess(parser->get().result())) {
         BarId(**connection, mContext.mMetadata.mId);
       }
       const auto usableUntil =
