Quarantine whole requests that crash endpoints

Cause: crashes were held against the parts of a prompt that requests share, and a plain request has none.

A whole request now counts as one more part, named by its team, host, method, target and body. It is quarantined after three crashes, at most one of which is counted for endpoints that are lost at the same time; a run that was sent after a crash counts however soon it follows, so evidence has the time of sending. It is tried twice at most, and not after two crashes that came later than the evidence needs to reach all hosts. Items are never named as a whole.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -469,7 +469,8 @@
 {
   auto& item = aRun->mItem.mJob->mItems[aRun->mItem.mIndex];
   const auto parts = mProtocol.mItemSharedParts(item.mSubmitted);
-  LostRun run{ item.mSubmitted.id, *aRun->mLostAt, parts };
+  // An item is never the cause by itself, only by parts that others share.
+  LostRun run{ item.mSubmitted.id, aRun->mStartedAt, *aRun->mLostAt, parts };
   const auto crashed = co_await RecordIfCrashed(
     mState, aRun->mEndpoint, std::move(run), TimePoint::max());
   const auto now = Clock::now();
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -64,6 +64,7 @@
   CallerPtr mCaller;
   std::shared_ptr<Request> mRequest;
   RequestMetadata mMetadata;
+  std::vector<PartHash> mParts; // by which it may be quarantined
   std::shared_ptr<const ServingDocument> mDocument; // keeps mRoute valid
   const ServingRoute* mRoute = nullptr;
   std::string mTeam;
@@ -115,7 +116,7 @@
            { { "id", aContext.mMetadata.mId },
              { "team", aContext.mTeam },
              { "reason", "quarantined" },
-             { "parts", FormatHashes(aContext.mMetadata.mSharedParts) } });
+             { "parts", FormatHashes(aContext.mParts) } });
   const auto retryAfter = std::chrono::ceil<milliseconds>(
     std::max(aUntil, DeadlineOf(aContext)) - Clock::now());
   auto response = aProtocol.mRefuse(
@@ -250,7 +251,7 @@
       { "attempt_ms", Millis(Clock::now() - mContext.mAttemptAt) },
       { "attempt_events",
         absl::StrCat(mContext.mForwardedEvents - mContext.mEventsBefore) },
-      { "parts", FormatHashes(mContext.mMetadata.mSharedParts) },
+      { "parts", FormatHashes(mContext.mParts) },
       { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) } });
   RecordExchange(mState, aEndpoint, ExchangeResult::Failed);
 }
@@ -258,7 +259,7 @@
 auto RelayedRequest::NoteAnswerBegun() -> void
 {
   mContext.mAnswerBegun = true;
-  RecordStart(mState.mSuspects, mContext.mMetadata.mSharedParts, Clock::now());
+  RecordStart(mState.mSuspects, mContext.mParts, Clock::now());
 }
 
 auto RelayedRequest::NoteError(const ErrorCode& aError) -> void
@@ -271,12 +272,13 @@
 auto RelayedRequest::ExamineLoss(EndpointPtr aEndpoint) -> Task<StepResult>
 {
   LostRun run{ mContext.mMetadata.mId,
+               mContext.mAttemptAt,
                *mContext.mLostAt,
-               mContext.mMetadata.mSharedParts };
+               mContext.mParts };
   const auto crashed = co_await RecordIfCrashed(
     mState, std::move(aEndpoint), std::move(run), Deadline());
   const auto suspected = crashed && IsSuspected(mState.mSuspects,
-                                                mContext.mMetadata.mSharedParts,
+                                                mContext.mParts,
                                                 mState.mSuspectPolicy,
                                                 Clock::now());
   co_return suspected ? StepResult::NoRetry : StepResult::Failed;
@@ -285,7 +287,7 @@
 auto RelayedRequest::QuarantinedUntil() const -> std::optional<TimePoint>
 {
   return mangovalve::QuarantinedUntil(
-    mState.mSuspects, mContext.mMetadata.mSharedParts, Clock::now());
+    mState.mSuspects, mContext.mParts, Clock::now());
 }
 
 auto RelayedRequest::MayRetryAfterRun() const -> bool
@@ -502,8 +504,7 @@
     RecordExchange(mState, *aEndpoint, ExchangeResult::Refused);
     co_return StepResult::NotRun;
   }
-  if (QuarantinedUntil() &&
-      !TakeTrial(mState, mContext.mMetadata.mSharedParts, Clock::now())) {
+  if (QuarantinedUntil() && !TakeTrial(mState, mContext.mParts, Clock::now())) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
@@ -953,11 +954,13 @@
     co_return;
   }
   context.mRoute = aAdmission.mRoute;
+  context.mParts = context.mMetadata.mSharedParts;
+  context.mParts.push_back(
+    WholeRequestHash(context.mMetadata, *context.mRequest, context.mTeam));
   // Before the rate, so that the request takes no token.
-  if (const auto until = QuarantinedUntil(
-        mState.mSuspects, context.mMetadata.mSharedParts, Clock::now());
-      until &&
-      !MayTakeTrial(mState, context.mMetadata.mSharedParts, Clock::now())) {
+  if (const auto until =
+        QuarantinedUntil(mState.mSuspects, context.mParts, Clock::now());
+      until && !MayTakeTrial(mState, context.mParts, Clock::now())) {
     co_await RefuseQuarantined(mProtocol, context, *until);
     co_return;
   }
--- a/mangovalve/peer/crash_evidence_generated.h
+++ b/mangovalve/peer/crash_evidence_generated.h
@@ -68,6 +68,7 @@
   uint64_t id = 0;
   uint32_t age_ms = 0;
   std::vector<uint64_t> parts{};
+  uint32_t ran_ms = 0;
 };
 
 struct CrashedRunCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -77,7 +78,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_AGE_MS = 6,
-    VT_PARTS = 8
+    VT_PARTS = 8,
+    VT_RAN_MS = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -88,12 +90,16 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  uint32_t ran_ms() const {
+    return GetField<uint32_t>(VT_RAN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_RAN_MS, 4) &&
            verifier.EndTable();
   }
   CrashedRunCopyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -114,6 +120,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(CrashedRunCopy::VT_PARTS, parts);
   }
+  void add_ran_ms(uint32_t ran_ms) {
+    fbb_.AddElement<uint32_t>(CrashedRunCopy::VT_RAN_MS, ran_ms, 0);
+  }
   explicit CrashedRunCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -129,9 +138,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t ran_ms = 0) {
   CrashedRunCopyBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_ran_ms(ran_ms);
   builder_.add_parts(parts);
   builder_.add_age_ms(age_ms);
   return builder_.Finish();
@@ -146,13 +157,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     uint32_t age_ms = 0,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t ran_ms = 0) {
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return mangovalve::wire::CreateCrashedRunCopy(
       _fbb,
       id,
       age_ms,
-      parts__);
+      parts__,
+      ran_ms);
 }
 
 flatbuffers::Offset<CrashedRunCopy> CreateCrashedRunCopy(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunCopyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -367,6 +380,7 @@
   { auto _e = id(); _o->id = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = ran_ms(); _o->ran_ms = _e; }
 }
 
 inline flatbuffers::Offset<CrashedRunCopy> CrashedRunCopy::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunCopyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -380,11 +394,13 @@
   auto _id = _o->id;
   auto _age_ms = _o->age_ms;
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _ran_ms = _o->ran_ms;
   return mangovalve::wire::CreateCrashedRunCopy(
       _fbb,
       _id,
       _age_ms,
-      _parts);
+      _parts,
+      _ran_ms);
 }
 
 inline QuarantineCopyT *QuarantineCopy::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -1,4 +1,4 @@
-// Attribution of endpoint crashes to parts of prompts.
+// Attribution of endpoint crashes to requests and parts of prompts.
 //
 // The quarantines are found from all retained evidence each time some of it
 // arrives, so that they don't depend on its order. The part that occurs in the
@@ -17,9 +17,6 @@
 // The time of a start that has not been seen.
 constexpr auto kNever = TimePoint::min();
 
-// Parts of a run above this number are ignored.
-constexpr std::size_t kMaxParts = 32;
-
 // Counts crashes of runs that are visited in the order of time.
 struct CrashCount
 {
@@ -30,16 +27,46 @@
   TimePoint mMomentAt{}; // likewise
 };
 
-auto Count(CrashCount& aCount, TimePoint aAt, const SuspectPolicy& aPolicy)
-  -> void
+// What is counted: crashes of a part, or of a whole request.
+enum class Counted
+{
+  Part,
+  WholeRequest,
+};
+
+auto CountedAs(PartHash aPart) -> Counted
+{
+  return IsWholeRequest(aPart) ? Counted::WholeRequest : Counted::Part;
+}
+
+auto CountedAs(const PartSet& aParts) -> Counted
 {
-  if (aCount.mCrashes == 0 || aAt - aCount.mCrashAt > aPolicy.mSameCrash) {
+  // Whole requests are sorted behind the parts.
+  return aParts.empty() ? Counted::Part : CountedAs(aParts.back());
+}
+
+auto CrashesToQuarantine(Counted aWhat, const SuspectPolicy& aPolicy)
+  -> std::size_t
+{
+  return aWhat == Counted::WholeRequest ? aPolicy.mRequestCrashesToQuarantine
+                                        : aPolicy.mCrashesToQuarantine;
+}
+
+auto Count(CrashCount& aCount,
+           const CrashedRun& aRun,
+           Counted aWhat,
+           const SuspectPolicy& aPolicy) -> void
+{
+  const auto apart = aRun.mAt - aCount.mCrashAt > aPolicy.mSameCrash;
+  const auto sentLater =
+    aWhat == Counted::WholeRequest && aRun.mSentAt > aCount.mCrashAt;
+  if (aCount.mCrashes == 0 || apart || sentLater) {
     ++aCount.mCrashes;
-    aCount.mCrashAt = aAt;
+    aCount.mCrashAt = aRun.mAt;
   }
-  if (aCount.mMoments == 0 || aAt - aCount.mMomentAt > aPolicy.mJitter) {
+  if (aCount.mMoments == 0 || aRun.mAt - aCount.mMomentAt > aPolicy.mJitter) {
     ++aCount.mMoments;
-    aCount.mMomentAt = aAt;
+    aCount.mMomentAt = aRun.mAt;
   }
   ++aCount.mRuns;
 }
@@ -151,9 +178,9 @@
   return parts;
 }
 
-// The part with the most unexplained crashes, if they suffice for a quarantine.
-// Among several the one at the most moments, then in the fewest runs: a popular
-// part is at most endpoints at any time.
+// The part with the most unexplained crashes, of those for which they suffice
+// for a quarantine. Among several the one at the most moments, then in the
+// fewest runs: a popular part is at most endpoints at any time.
 auto LikeliestCause(const CrashSuspects& aSuspects,
                     const Explained& aExplained,
                     const SuspectPolicy& aPolicy) -> std::optional<PartHash>
@@ -166,7 +193,7 @@
     const auto& run = aSuspects.mRuns[i];
     for (const auto part : run.mParts) {
       if (run.mAt > LastStart(aSuspects, part)) {
-        Count(counts[part], run.mAt, aPolicy);
+        Count(counts[part], run, CountedAs(part), aPolicy);
       }
     }
   }
@@ -181,13 +208,14 @@
     }
     return std::pair(left.mRuns, leftPart) < std::pair(right.mRuns, rightPart);
   };
+  absl::erase_if(counts, [&](const auto& aCounted) {
+    const auto& [part, count] = aCounted;
+    return count.mCrashes < CrashesToQuarantine(CountedAs(part), aPolicy);
+  });
   const auto likeliest =
     std::min_element(counts.begin(), counts.end(), likelier);
-  if (likeliest == counts.end() ||
-      likeliest->second.mCrashes < aPolicy.mCrashesToQuarantine) {
-    return std::nullopt;
-  }
-  return likeliest->first;
+  return likeliest == counts.end() ? std::nullopt
+                                   : std::optional(likeliest->first);
 }
 
 // The quarantines that follow from the evidence, and the runs they explain.
@@ -254,6 +282,8 @@
                const Attribution& aAttribution,
                const SuspectPolicy& aPolicy) -> bool
 {
+  const auto what = CountedAs(aQuarantine.mParts);
+  const auto enough = CrashesToQuarantine(what, aPolicy);
   CrashCount all;
   CrashCount unexplained;
   for (std::size_t i = 0; i < aSuspects.mRuns.size(); ++i) {
@@ -261,9 +291,9 @@
     if (!IsSubset(aQuarantine.mParts, run.mParts)) {
       continue;
     }
-    Count(all, run.mAt, aPolicy);
+    Count(all, run, what, aPolicy);
     if (!aAttribution.mExplained[i]) {
-      Count(unexplained, run.mAt, aPolicy);
+      Count(unexplained, run, what, aPolicy);
     }
   }
   // Hosts may count crashes differently that are close to each other, so less
@@ -271,8 +301,7 @@
   const auto explained =
     unexplained.mCrashes == 0
       ? all.mCrashes >= aPolicy.mCrashesToSuspect && all.mCrashes > 0
-      : all.mCrashes >= aPolicy.mCrashesToQuarantine &&
-          unexplained.mCrashes < aPolicy.mCrashesToQuarantine;
+      : all.mCrashes >= enough && unexplained.mCrashes < enough;
   return explained && !IsPartOfCause(aSuspects, aQuarantine, aAttribution);
 }
 
@@ -324,7 +353,10 @@
 {
   TrialDeadlines deadlines;
   auto age = aPolicy.mFirstTrial;
-  for (std::size_t trial = 0; trial < aPolicy.mMaxTrials; ++trial) {
+  const auto trials = CountedAs(aQuarantine.mParts) == Counted::WholeRequest
+                        ? aPolicy.mMaxRequestTrials
+                        : aPolicy.mMaxTrials;
+  for (std::size_t trial = 0; trial < trials; ++trial) {
     const auto deadline = aQuarantine.mSince + age;
     if (deadline > aNow) {
       deadlines.mNext = deadline;
@@ -336,6 +368,30 @@
   return deadlines;
 }
 
+// Whether a whole request has crashed so many endpoints since its quarantine
+// that it is not tried again.
+auto IsBeyondTrial(const CrashSuspects& aSuspects,
+                   const Quarantine& aQuarantine,
+                   const SuspectPolicy& aPolicy) -> bool
+{
+  if (CountedAs(aQuarantine.mParts) != Counted::WholeRequest) {
+    return false;
+  }
+  CrashCount before;
+  CrashCount repeats;
+  for (const auto& run : aSuspects.mRuns) {
+    if (!IsSubset(aQuarantine.mParts, run.mParts)) {
+      continue;
+    }
+    if (before.mCrashes < aPolicy.mRequestCrashesToQuarantine) {
+      Count(before, run, Counted::WholeRequest, aPolicy);
+    } else if (run.mAt > before.mCrashAt + aPolicy.mSpreadTime) {
+      Count(repeats, run, Counted::WholeRequest, aPolicy);
+    }
+  }
+  return repeats.mMoments >= aPolicy.mMaxRequestRepeats;
+}
+
 // Whether the set's trial is due at this host. The trial of another host is
 // known by its crash. When crashes since the deadline may have been forgotten,
 // the trial has lapsed.
@@ -344,7 +400,8 @@
                 const SuspectPolicy& aPolicy,
                 TimePoint aNow) -> bool
 {
-  if (aNow < aQuarantine.mTrialAt) {
+  if (aNow < aQuarantine.mTrialAt ||
+      IsBeyondTrial(aSuspects, aQuarantine, aPolicy)) {
     return false;
   }
   const auto last = TrialDeadlinesAt(aQuarantine, aPolicy, aNow).mLast;
@@ -579,7 +636,7 @@
     CrashCount count;
     const auto evidence = EvidenceAgainst(aSuspects, aPart, explained);
     for (const auto* const run : evidence) {
-      Count(count, run->mAt, aPolicy);
+      Count(count, *run, CountedAs(aPart), aPolicy);
     }
     return count.mCrashes > 0 && count.mCrashes >= aPolicy.mCrashesToSuspect &&
            ContainsAll(aParts, JointParts(aSuspects, evidence));
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -1,4 +1,6 @@
-// Finds the parts of prompts that crash endpoints, and quarantines them.
+// Finds the requests and parts of prompts that crash endpoints, and quarantines
+// them. A whole request counts as one more part, which it shares with its own
+// repetitions only.
 //
 // The evidence is the requests that an endpoint had not begun to answer when it
 // crashed. Several requests are in progress at a crash, and at most one of them
@@ -30,17 +32,30 @@
 
 namespace mangovalve {
 
+// Of a part, or of a whole request, which has kWholeRequest set.
 using PartHash = std::uint64_t;
 
+constexpr PartHash kWholeRequest = 1ULL << 63U;
+
+constexpr auto IsWholeRequest(PartHash aPart) -> bool
+{
+  return (aPart & kWholeRequest) != 0;
+}
+
 // A set of parts, sorted and without repetition.
 using PartSet = std::vector<PartHash>;
 
+// Parts of one run or quarantine: those of a prompt, and the whole request.
+constexpr std::size_t kMaxParts = 33;
+
 // A request that an endpoint had not begun to answer when it crashed.
 struct CrashedRun
 {
   std::uint64_t mId = 0; // of this run of the request, the same on all hosts
   TimePoint mAt{};
   PartSet mParts;
+  // When the request was sent to the endpoint; TimePoint::min() if not known.
+  TimePoint mSentAt = TimePoint::min();
 };
 
 // Requests that contain all of these parts are refused.
@@ -58,10 +73,13 @@
 struct SuspectPolicy
 {
   std::size_t mCrashesToQuarantine = 4;
+  // The same for a whole request. It has fewer innocent companions than a part.
+  std::size_t mRequestCrashesToQuarantine = 3;
   // A request is not retried after a crash if one of its parts has as many.
   std::size_t mCrashesToSuspect = 2;
   // Crashes within this time count as one: many endpoints that are lost at once
-  // have a common cause, which is not a request.
+  // have a common cause, which is not a request. A whole request that was sent
+  // after a crash has no part in it, so its next crash counts however soon.
   Duration mSameCrash = std::chrono::milliseconds(100);
   // The times of a crash differ by less between requests and hosts.
   Duration mJitter = std::chrono::milliseconds(15);
@@ -73,6 +91,12 @@
   Duration mFirstTrial = std::chrono::seconds(20);
   int mTrialFactor = 4;
   std::size_t mMaxTrials = 3;
+  // A whole request is tried less often, and not again after as many crashes
+  // that came later than mSpreadTime after the one that quarantined it.
+  std::size_t mMaxRequestTrials = 2;
+  std::size_t mMaxRequestRepeats = 2;
+  // Time within which evidence reaches all hosts that can be reached.
+  Duration mSpreadTime = std::chrono::seconds(3);
   // Deadlines that are closer when the quarantine becomes known are left to
   // other hosts: a host that starts doesn't know yet which one has to try.
   Duration mTrialNotice = std::chrono::seconds(5);
--- a/mangovalve/routing/crash_suspects_test.cc
+++ b/mangovalve/routing/crash_suspects_test.cc
@@ -395,6 +395,113 @@
   return TakeTrial(aHost.mSuspects, std::vector(aParts), kPolicy, true, aAt);
 }
 
+constexpr PartHash kDeadlyRequest = kWholeRequest | 21;
+constexpr PartHash kSoundRequest = kWholeRequest | 22;
+
+// Records a run of a whole request that was sent aRan before the crash.
+auto CrashRequest(Host& aHost, TimePoint aAt, PartSet aParts, Duration aRan)
+  -> std::vector<Quarantine>
+{
+  CrashedRun run;
+  run.mId = aHost.mNext++;
+  run.mAt = aAt;
+  run.mSentAt = aAt - aRan;
+  run.mParts = std::move(aParts);
+  return RecordCrash(aHost.mSuspects, std::move(run), kPolicy, aAt);
+}
+
+// Guards against a request without parts that crashes endpoint after endpoint
+// when it comes again, and against crashes that are counted as one because they
+// follow each other closely.
+TEST_CASE("a repeated request is quarantined after 3 crashes, however close")
+{
+  Host host;
+  auto now = kStart;
+  for (auto crash = 0; crash < 3; ++crash) {
+    CHECK(Sets(host.mSuspects).empty());
+    CrashRequest(host, now, { kDeadlyRequest }, milliseconds(30));
+    now += milliseconds(50);
+    CHECK(Suspects(host, now, { kDeadlyRequest }) == (crash > 0));
+  }
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadlyRequest } });
+  CHECK(Refuses(host, now, { kFirst, kDeadlyRequest }));
+  CHECK_FALSE(Refuses(host, now, { kSoundRequest }));
+}
+
+// Guards against the refusal of a sound request that many callers repeat, when
+// endpoints with it are lost for a common cause.
+TEST_CASE("endpoints that are lost at the same time convict no request")
+{
+  Host host;
+  for (auto endpoint = 0; endpoint < 12; ++endpoint) {
+    CrashRequest(host,
+                 kStart + milliseconds(8 * endpoint),
+                 { kSoundRequest },
+                 milliseconds(120));
+  }
+  CHECK(Sets(host.mSuspects).empty());
+  // Copies without the time of sending tell nothing of the order.
+  Crash(host, kStart + milliseconds(97), { kSoundRequest });
+  CHECK(Sets(host.mSuspects).empty());
+}
+
+// Guards against the refusal of a sound request that is answered in between.
+TEST_CASE("an answer clears a repeated request")
+{
+  Host host;
+  auto now = kStart;
+  for (auto crash = 0; crash < 9; ++crash) {
+    CrashRequest(host, now, { kSoundRequest }, milliseconds(30));
+    now += seconds(1);
+    if (crash % 2 == 1) {
+      Start(host, now - milliseconds(1), { kSoundRequest });
+    }
+    CHECK(Sets(host.mSuspects).empty());
+  }
+}
+
+// Guards against a deadly part that is refused in one request only, because
+// that request has crashed most endpoints.
+TEST_CASE("a deadly part is found though its first request was repeated")
+{
+  Host host;
+  auto now = kStart;
+  for (auto crash = 0; crash < 3; ++crash) {
+    CrashRequest(
+      host, now, { kDeadly, kSession, kDeadlyRequest }, milliseconds(30));
+    now += seconds(1);
+  }
+  CHECK(Refuses(host, now, { kDeadly, kSession, kDeadlyRequest }));
+  CHECK_FALSE(Refuses(host, now, { kDeadly, kSession, kSoundRequest }));
+  CrashRequest(host, now, { kDeadly, kWholeRequest | 23 }, milliseconds(30));
+  CHECK(Sets(host.mSuspects) == PartSets{ { kDeadly } });
+}
+
+// Guards against more than three sends of a deadly request after its third
+// crash, trials and late crashes together.
+TEST_CASE("a quarantined request is tried twice at most")
+{
+  Host host;
+  auto now = kStart;
+  for (auto crash = 0; crash < 3; ++crash) {
+    CrashRequest(host, now, { kDeadlyRequest }, milliseconds(30));
+    now += milliseconds(50);
+  }
+  auto late = host;
+  for (const auto at : { seconds(20), seconds(80) }) {
+    CHECK(Tries(host, kStart + at, { kDeadlyRequest }));
+    CrashRequest(host, kStart + at, { kDeadlyRequest }, milliseconds(30));
+  }
+  CHECK_FALSE(Tries(host, kStart + seconds(320), { kDeadlyRequest }));
+
+  // Sent by hosts that did not know of the quarantine.
+  for (const auto at : { seconds(5), seconds(6) }) {
+    CrashRequest(late, kStart + at, { kDeadlyRequest }, milliseconds(30));
+  }
+  CHECK_FALSE(Tries(late, kStart + seconds(20), { kDeadlyRequest }));
+  CHECK_FALSE(Tries(late, kStart + seconds(80), { kDeadlyRequest }));
+}
+
 // Guards against several requests with a deadly part that are sent as the same
 // trial, and against hosts that try a set which another host tries.
 TEST_CASE("a trial is used up once, and only by the host that tries the set")
--- a/mangovalve/serving/endpoint_crash.cc
+++ b/mangovalve/serving/endpoint_crash.cc
@@ -79,6 +79,25 @@
 
 } // namespace
 
+auto WholeRequestHash(const RequestMetadata& aMetadata,
+                      const Request& aRequest,
+                      std::string_view aTeam) -> PartHash
+{
+  const auto method = aRequest.method_string();
+  const auto target = aRequest.target();
+  // The body goes first into the seed, since it may be large. No other field
+  // may contain the separator.
+  const auto text =
+    absl::StrCat(absl::string_view(method.data(), method.size()),
+                 "\n",
+                 aMetadata.mHost,
+                 "\n",
+                 absl::string_view(target.data(), target.size()),
+                 "\n",
+                 absl::string_view(aTeam.data(), aTeam.size()));
+  return StableHash(text, StableHash(aRequest.body())) | kWholeRequest;
+}
+
 auto EndedByEndpoint(const ErrorCode& aError) -> bool
 {
   return aError == http::error::end_of_stream ||
@@ -94,7 +113,7 @@
                      TimePoint aDeadline) -> Task<bool>
 {
   const auto now = Clock::now();
-  if (aRun.mSharedParts.empty() || IsLeaving(*aEndpoint, now)) {
+  if (aRun.mParts.empty() || IsLeaving(*aEndpoint, now)) {
     co_return false;
   }
   const auto refuses = co_await RefusesConnections(
@@ -106,7 +125,7 @@
            "endpoint_crashed",
            { { "id", aRun.mRequestId },
              { "endpoint", aEndpoint->mRegistration.mId },
-             { "parts", FormatHashes(aRun.mSharedParts) } });
+             { "parts", FormatHashes(aRun.mParts) } });
   // One crash loses several runs; it must not raise the backoff with each.
   if (aEndpoint->mHealth.mRefusedUntil <= Clock::now()) {
     RecordExchange(aState, *aEndpoint, ExchangeResult::Refused);
@@ -114,7 +133,8 @@
   CrashedRun crashed;
   crashed.mId = RunId(aRun, *aEndpoint);
   crashed.mAt = aRun.mLostAt;
-  crashed.mParts = ToPartSet(std::move(aRun.mSharedParts));
+  crashed.mSentAt = aRun.mSentAt;
+  crashed.mParts = ToPartSet(std::move(aRun.mParts));
   const auto quarantines = RecordCrash(
     aState.mSuspects, std::move(crashed), aState.mSuspectPolicy, Clock::now());
   for (const auto& quarantine : quarantines) {
--- a/mangovalve/serving/endpoint_crash.h
+++ b/mangovalve/serving/endpoint_crash.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "mangovalve/serving/state.h"
@@ -20,10 +21,17 @@
 struct LostRun
 {
   std::string mRequestId;
+  TimePoint mSentAt{};
   TimePoint mLostAt{};
-  std::vector<PartHash> mSharedParts;
+  std::vector<PartHash> mParts; // see CrashedRun
 };
 
+// Identifies a request of a team by all that its repetitions have in common:
+// host, method, target and body.
+auto WholeRequestHash(const RequestMetadata& aMetadata,
+                      const Request& aRequest,
+                      std::string_view aTeam) -> PartHash;
+
 // Whether the other side ended the connection. False for timeouts, malformed
 // data and connections that this side closed.
 auto EndedByEndpoint(const ErrorCode& aError) -> bool;
--- a/mangovalve/serving/endpoint_crash_test.cc
+++ b/mangovalve/serving/endpoint_crash_test.cc
@@ -15,6 +15,8 @@
 // Ends a case that hangs; generous, since the machine may be busy.
 constexpr auto kCaseDeadline = seconds(40);
 
+constexpr auto kRanFor = milliseconds(50);
+
 struct Setup
 {
   asio::io_context mLoop{ 1 };
@@ -41,7 +43,8 @@
   // Result of RecordIfCrashed for a run with these parts.
   auto Examine(std::vector<PartHash> aParts) -> bool
   {
-    LostRun run{ "r1", Clock::now(), std::move(aParts) };
+    const auto now = Clock::now();
+    LostRun run{ "r1", now - kRanFor, now, std::move(aParts) };
     std::optional<bool> crashed;
     Spawn(
       mLoop,
@@ -64,10 +67,40 @@
   Setup setup;
   CHECK(setup.Examine({ 7, 3, 7 }));
   REQUIRE(setup.mState.mSuspects.mRuns.size() == 1);
-  CHECK(setup.mState.mSuspects.mRuns[0].mParts == PartSet{ 3, 7 });
+  const auto& run = setup.mState.mSuspects.mRuns[0];
+  CHECK(run.mParts == PartSet{ 3, 7 });
+  CHECK(run.mAt - run.mSentAt == kRanFor);
   CHECK(setup.mEndpoint->mHealth.mConsecutiveRefusals == 1);
 }
 
+// Guards against a request that is not recognized when it comes again, and
+// against others that are taken for it.
+TEST_CASE("a request is identified by its team, method, target and body")
+{
+  RequestMetadata metadata;
+  metadata.mHost = "h";
+  Request request(http::verb::post, "/p?q=1", 11);
+  request.body() = "body";
+  const auto hash = WholeRequestHash(metadata, request, "red");
+  CHECK(IsWholeRequest(hash));
+  auto repeated = request;
+  repeated.set("Request-Id", "another");
+  metadata.mId = "another";
+  CHECK(WholeRequestHash(metadata, repeated, "red") == hash);
+  CHECK(WholeRequestHash(metadata, request, "blue") != hash);
+  auto other = request;
+  other.body() = "other";
+  CHECK(WholeRequestHash(metadata, other, "red") != hash);
+  other = request;
+  other.target("/p?q=2");
+  CHECK(WholeRequestHash(metadata, other, "red") != hash);
+  other = request;
+  other.method(http::verb::put);
+  CHECK(WholeRequestHash(metadata, other, "red") != hash);
+  metadata.mHost = "i";
+  CHECK(WholeRequestHash(metadata, request, "red") != hash);
+}
+
 // Guards against evidence of requests that share nothing with others.
 TEST_CASE("a run without shared parts is no evidence")
 {
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -28,7 +28,8 @@
   std::optional<std::chrono::milliseconds> mCallerTimeout;
   std::optional<std::uint64_t> mResumeAfter; // last event that it received
   // Hashes of the parts of the prompt that other requests may share, in order.
-  // The last part belongs to the request alone and is left out.
+  // The last part belongs to the request alone and is left out. kWholeRequest
+  // is not set.
   std::vector<std::uint64_t> mSharedParts;
 };
 
--- a/mangovalve/serving/suspect_exchange.cc
+++ b/mangovalve/serving/suspect_exchange.cc
@@ -109,6 +109,8 @@
     copy->id = run->mId;
     copy->age_ms = ToWire(aNow - run->mAt);
     copy->parts = run->mParts;
+    copy->ran_ms =
+      run->mSentAt == TimePoint::min() ? 0 : ToWire(run->mAt - run->mSentAt);
     copies.push_back(std::move(copy));
   }
   return copies;
@@ -178,6 +180,18 @@
   }
 }
 
+auto FromWire(const wire::CrashedRunCopyT& aCopy, TimePoint aNow) -> CrashedRun
+{
+  CrashedRun run;
+  run.mId = aCopy.id;
+  run.mAt = aNow - milliseconds(aCopy.age_ms);
+  run.mParts = SortedParts(aCopy.parts);
+  if (aCopy.ran_ms > 0) {
+    run.mSentAt = run.mAt - milliseconds(aCopy.ran_ms);
+  }
+  return run;
+}
+
 // The oldest runs first, as they happened.
 auto ApplyRuns(CrashSuspects& aSuspects,
                const SuspectPolicy& aPolicy,
@@ -194,8 +208,7 @@
     const auto& run = *aEvidence.runs[i];
     if (known.insert(run.id).second && !run.parts.empty() &&
         run.parts.size() <= kMaxPartsSent) {
-      runs.push_back(
-        { run.id, aNow - milliseconds(run.age_ms), SortedParts(run.parts) });
+      runs.push_back(FromWire(run, aNow));
     }
   }
   std::sort(
--- a/mangovalve/serving/suspect_exchange.h
+++ b/mangovalve/serving/suspect_exchange.h
@@ -26,7 +26,7 @@
 constexpr std::size_t kMaxRunsSent = 32;
 constexpr std::size_t kMaxStartsSent = 64;
 constexpr std::size_t kMaxQuarantinesSent = 64;
-constexpr std::size_t kMaxPartsSent = 32; // of one run or quarantine
+constexpr std::size_t kMaxPartsSent = kMaxParts; // of one run or quarantine
 
 // When a start that is evidence became known.
 struct AnnouncedStart
--- a/mangovalve/serving/suspect_exchange_test.cc
+++ b/mangovalve/serving/suspect_exchange_test.cc
@@ -44,7 +44,8 @@
   const SuspectPolicy policy;
   CrashSuspects sender;
   const auto at = kNow - milliseconds(700);
-  RecordCrash(sender, { 5, at, { 1, 2, 3 } }, policy, at);
+  RecordCrash(
+    sender, { 5, at, { 1, 2, 3 }, at - milliseconds(40) }, policy, at);
   const std::array started{ PartHash{ 2 } };
   RecordStart(sender, started, at + milliseconds(300));
   REQUIRE(AdoptQuarantine(sender,
@@ -61,6 +62,7 @@
   CHECK(receiver.mRuns[0].mId == 5);
   CHECK(receiver.mRuns[0].mAt == theirNow - milliseconds(700));
   CHECK(receiver.mRuns[0].mParts == PartSet{ 1, 2, 3 });
+  CHECK(receiver.mRuns[0].mSentAt == theirNow - milliseconds(740));
   CHECK(receiver.mStarts.at(2) == theirNow - milliseconds(400));
   REQUIRE(receiver.mQuarantines.size() == 1);
   CHECK(receiver.mQuarantines[0].mParts == PartSet{ 8, 9 });
