--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -83,7 +83,7 @@
 
   // Returns an idle connection that became idle at aIdleAfter or later and from
   // which the request id aId is not barred, or a new one. aId must stay valid
-  // until then. After an error, nothing has been sent.
+  // until the task has ended. After an error, nothing has been sent.
   auto Acquire(std::string aAddress,
                TimePoint aIdleAfter,
                TimePoint aDeadline,
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -32,9 +32,10 @@
 
 namespace mangovalve {
 
-// Of a part, or of a whole request, which has kWholeRequest set.
+// Of a part of a prompt, or of a whole request.
 using PartHash = std::uint64_t;
 
+// Set in the hash of a whole request, and in no other.
 constexpr PartHash kWholeRequest = 1ULL << 63U;
 
 constexpr auto IsWholeRequest(PartHash aPart) -> bool
@@ -73,13 +74,13 @@
 struct SuspectPolicy
 {
   std::size_t mCrashesToQuarantine = 4;
-  // The same for a whole request. It has fewer innocent companions than a part.
+  // The same for a whole request, which is at few endpoints by chance.
   std::size_t mRequestCrashesToQuarantine = 3;
   // A request is not retried after a crash if one of its parts has as many.
   std::size_t mCrashesToSuspect = 2;
   // Crashes within this time count as one: many endpoints that are lost at once
-  // have a common cause, which is not a request. A whole request that was sent
-  // after a crash has no part in it, so its next crash counts however soon.
+  // have a common cause, which is not a request. A whole request counts again,
+  // however soon, if it was sent after the crash before.
   Duration mSameCrash = std::chrono::milliseconds(100);
   // The times of a crash differ by less between requests and hosts.
   Duration mJitter = std::chrono::milliseconds(15);
@@ -91,9 +92,10 @@
   Duration mFirstTrial = std::chrono::seconds(20);
   int mTrialFactor = 4;
   std::size_t mMaxTrials = 3;
-  // A whole request is tried less often, and not again after as many crashes
-  // that came later than mSpreadTime after the one that quarantined it.
+  // The same for a whole request.
   std::size_t mMaxRequestTrials = 2;
+  // A whole request that has crashed so many endpoints later than mSpreadTime
+  // after the crash that quarantined it is not tried again.
   std::size_t mMaxRequestRepeats = 2;
   // Time within which evidence reaches all hosts that can be reached.
   Duration mSpreadTime = std::chrono::seconds(3);
--- a/mangovalve/serving/endpoint_crash.cc
+++ b/mangovalve/serving/endpoint_crash.cc
@@ -85,8 +85,7 @@
 {
   const auto method = aRequest.method_string();
   const auto target = aRequest.target();
-  // The body goes first into the seed, since it may be large. No other field
-  // may contain the separator.
+  // Only the body may contain the separator, so it is hashed by itself.
   const auto text =
     absl::StrCat(absl::string_view(method.data(), method.size()),
                  "\n",
