--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -35,8 +35,7 @@
 // Of a part of a prompt, or of a whole request.
 using PartHash = std::uint64_t;
 
-// Set in the hash of a whole request, and in no other.
-constexpr PartHash kWholeRequest = 1ULL << 63U;
+constexpr PartHash kWholeRequest = 1ULL << 63U; // set in the latter only
 
 constexpr auto IsWholeRequest(PartHash aPart) -> bool
 {
@@ -92,10 +91,9 @@
   Duration mFirstTrial = std::chrono::seconds(20);
   int mTrialFactor = 4;
   std::size_t mMaxTrials = 3;
-  // The same for a whole request.
+  // The same for a whole request, and the number of its crashes later than
+  // mSpreadTime after its quarantine with which it is not tried again.
   std::size_t mMaxRequestTrials = 2;
-  // A whole request that has crashed so many endpoints later than mSpreadTime
-  // after the crash that quarantined it is not tried again.
   std::size_t mMaxRequestRepeats = 2;
   // Time within which evidence reaches all hosts that can be reached.
   Duration mSpreadTime = std::chrono::seconds(3);
