--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -63,7 +63,9 @@
       aInto = co_await aFrom.Acquire(
         aTo, TimePoint::min(), Clock::now() + kCaseDeadline, aFor);
     }(aPool, aAddress, aId, result));
+  const auto deadline = Clock::now() + kCaseDeadline;
   while (!result) {
+    REQUIRE(Clock::now() < deadline);
     aLoop.run_for(milliseconds(5));
   }
   REQUIRE(*result);
