--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -73,7 +73,7 @@
 struct SuspectPolicy
 {
   std::size_t mCrashesToQuarantine = 4;
-  // The same for a whole request, which is at few endpoints by chance.
+  // The same for a whole request.
   std::size_t mRequestCrashesToQuarantine = 3;
   // A request is not retried after a crash if one of its parts has as many.
   std::size_t mCrashesToSuspect = 2;
@@ -91,8 +91,8 @@
   Duration mFirstTrial = std::chrono::seconds(20);
   int mTrialFactor = 4;
   std::size_t mMaxTrials = 3;
-  // The same for a whole request, and the number of its crashes later than
-  // mSpreadTime after its quarantine with which it is not tried again.
+  // The same for a whole request. It is not tried again after the repeats
+  // below, which are crashes later than mSpreadTime after its quarantine.
   std::size_t mMaxRequestTrials = 2;
   std::size_t mMaxRequestRepeats = 2;
   // Time within which evidence reaches all hosts that can be reached.
