Read all figures of the load report, warm-ups, prompt sizes; new peer fields

Cause: the load report was read only with exactly three figures, so a fourth one, the speed of the machine, lost the whole report. Warm-ups, the memory of engines and the sizes of prompts were not read at all. Change: each figure is read by itself. The document names warm-ups and memory, the registration and responses name the time for which an endpoint is cold, requests name the tokens of their prompt and its parts. Load reports, domain summaries and state copies get fields for evacuations, cold endpoints, use by team and speeds; nothing fills them yet. No behavior of placement changes.

--- a/mangovalve/peer/domain_summary_generated.h
+++ b/mangovalve/peer/domain_summary_generated.h
@@ -72,6 +72,10 @@
   std::vector<mangovalve::wire::PartitionHost> partitions{};
   std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
   std::vector<mangovalve::wire::EndpointLimit> limits{};
+  std::unique_ptr<mangovalve::wire::EvacuationsT> evacuations{};
+  std::vector<mangovalve::wire::ColdEndpoint> cold{};
+  std::vector<mangovalve::wire::TeamServiceUse> team_uses{};
+  std::vector<mangovalve::wire::EndpointSpeed> speeds{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -94,7 +98,11 @@
     VT_TEAMS = 20,
     VT_PARTITIONS = 22,
     VT_EVIDENCE = 24,
-    VT_LIMITS = 26
+    VT_LIMITS = 26,
+    VT_EVACUATIONS = 28,
+    VT_COLD = 30,
+    VT_TEAM_USES = 32,
+    VT_SPEEDS = 34
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -132,6 +140,18 @@
   const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *>(VT_LIMITS);
   }
+  const mangovalve::wire::Evacuations *evacuations() const {
+    return GetPointer<const mangovalve::wire::Evacuations *>(VT_EVACUATIONS);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *> *cold() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *> *>(VT_COLD);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *> *team_uses() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *> *>(VT_TEAM_USES);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *>(VT_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -156,6 +176,14 @@
            verifier.VerifyTable(evidence()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyVector(cold()) &&
+           VerifyOffset(verifier, VT_TEAM_USES) &&
+           verifier.VerifyVector(team_uses()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -203,6 +231,18 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits) {
     fbb_.AddOffset(DomainSummary::VT_LIMITS, limits);
   }
+  void add_evacuations(flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations) {
+    fbb_.AddOffset(DomainSummary::VT_EVACUATIONS, evacuations);
+  }
+  void add_cold(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold) {
+    fbb_.AddOffset(DomainSummary::VT_COLD, cold);
+  }
+  void add_team_uses(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses) {
+    fbb_.AddOffset(DomainSummary::VT_TEAM_USES, team_uses);
+  }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds) {
+    fbb_.AddOffset(DomainSummary::VT_SPEEDS, speeds);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -229,11 +269,19 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionHost *>> partitions = 0,
     flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_speeds(speeds);
+  builder_.add_team_uses(team_uses);
+  builder_.add_cold(cold);
+  builder_.add_evacuations(evacuations);
   builder_.add_limits(limits);
   builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
@@ -264,7 +312,11 @@
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
     const std::vector<mangovalve::wire::PartitionHost> *partitions = nullptr,
     flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
-    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr) {
+    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
+    const std::vector<mangovalve::wire::ColdEndpoint> *cold = nullptr,
+    const std::vector<mangovalve::wire::TeamServiceUse> *team_uses = nullptr,
+    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
@@ -273,6 +325,9 @@
   auto teams__ = teams ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamUse>(*teams) : 0;
   auto partitions__ = partitions ? _fbb.CreateVectorOfStructs<mangovalve::wire::PartitionHost>(*partitions) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointLimit>(*limits) : 0;
+  auto cold__ = cold ? _fbb.CreateVectorOfStructs<mangovalve::wire::ColdEndpoint>(*cold) : 0;
+  auto team_uses__ = team_uses ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamServiceUse>(*team_uses) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointSpeed>(*speeds) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       host__,
@@ -286,7 +341,11 @@
       teams__,
       partitions__,
       evidence,
-      limits__);
+      limits__,
+      evacuations,
+      cold__,
+      team_uses__,
+      speeds__);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -303,7 +362,11 @@
         teams(o.teams),
         partitions(o.partitions),
         evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr),
-        limits(o.limits) {
+        limits(o.limits),
+        evacuations((o.evacuations) ? new mangovalve::wire::EvacuationsT(*o.evacuations) : nullptr),
+        cold(o.cold),
+        team_uses(o.team_uses),
+        speeds(o.speeds) {
 }
 
 inline DomainSummaryT &DomainSummaryT::operator=(DomainSummaryT o) FLATBUFFERS_NOEXCEPT {
@@ -319,6 +382,10 @@
   std::swap(partitions, o.partitions);
   std::swap(evidence, o.evidence);
   std::swap(limits, o.limits);
+  std::swap(evacuations, o.evacuations);
+  std::swap(cold, o.cold);
+  std::swap(team_uses, o.team_uses);
+  std::swap(speeds, o.speeds);
   return *this;
 }
 
@@ -343,6 +410,10 @@
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
   { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::unique_ptr<mangovalve::wire::EvacuationsT>(_e->UnPack(_resolver)); }
+  { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
+  { auto _e = team_uses(); if (_e) { _o->team_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_uses[_i] = *_e->Get(_i); } } }
+  { auto _e = speeds(); if (_e) { _o->speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->speeds[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -365,6 +436,10 @@
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
   auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _evacuations = _o->evacuations ? CreateEvacuations(_fbb, _o->evacuations.get(), _rehasher) : 0;
+  auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
+  auto _team_uses = _o->team_uses.size() ? _fbb.CreateVectorOfStructs(_o->team_uses) : 0;
+  auto _speeds = _o->speeds.size() ? _fbb.CreateVectorOfStructs(_o->speeds) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       _host,
@@ -378,7 +453,11 @@
       _teams,
       _partitions,
       _evidence,
-      _limits);
+      _limits,
+      _evacuations,
+      _cold,
+      _team_uses,
+      _speeds);
 }
 
 inline const mangovalve::wire::DomainSummary *GetDomainSummary(const void *buf) {
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -28,6 +28,16 @@
 
 struct EndpointLimit;
 
+struct EndpointSpeed;
+
+struct ColdEndpoint;
+
+struct TeamServiceUse;
+
+struct Evacuations;
+struct EvacuationsBuilder;
+struct EvacuationsT;
+
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
@@ -210,6 +220,196 @@
   using type = EndpointLimit;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointSpeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  float work_factor_;
+  uint32_t age_ms_;
+
+ public:
+  struct Traits;
+  EndpointSpeed()
+      : endpoint_(0),
+        work_factor_(0),
+        age_ms_(0) {
+  }
+  EndpointSpeed(uint64_t _endpoint, float _work_factor, uint32_t _age_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        work_factor_(flatbuffers::EndianScalar(_work_factor)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  float work_factor() const {
+    return flatbuffers::EndianScalar(work_factor_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointSpeed, 16);
+
+struct EndpointSpeed::Traits {
+  using type = EndpointSpeed;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ColdEndpoint FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint32_t left_ms_;
+  uint32_t age_ms_;
+
+ public:
+  struct Traits;
+  ColdEndpoint()
+      : endpoint_(0),
+        left_ms_(0),
+        age_ms_(0) {
+  }
+  ColdEndpoint(uint64_t _endpoint, uint32_t _left_ms, uint32_t _age_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        left_ms_(flatbuffers::EndianScalar(_left_ms)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t left_ms() const {
+    return flatbuffers::EndianScalar(left_ms_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ColdEndpoint, 16);
+
+struct ColdEndpoint::Traits {
+  using type = ColdEndpoint;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TeamServiceUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint64_t team_;
+  uint32_t waiting_;
+  uint32_t running_;
+
+ public:
+  struct Traits;
+  TeamServiceUse()
+      : service_(0),
+        team_(0),
+        waiting_(0),
+        running_(0) {
+  }
+  TeamServiceUse(uint64_t _service, uint64_t _team, uint32_t _waiting, uint32_t _running)
+      : service_(flatbuffers::EndianScalar(_service)),
+        team_(flatbuffers::EndianScalar(_team)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        running_(flatbuffers::EndianScalar(_running)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t team() const {
+    return flatbuffers::EndianScalar(team_);
+  }
+  uint32_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint32_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TeamServiceUse, 24);
+
+struct TeamServiceUse::Traits {
+  using type = TeamServiceUse;
+};
+
+struct EvacuationsT : public flatbuffers::NativeTable {
+  typedef Evacuations TableType;
+  uint64_t offset = 0;
+  std::vector<std::string> domains{};
+};
+
+struct Evacuations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationsT NativeTableType;
+  typedef EvacuationsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OFFSET = 4,
+    VT_DOMAINS = 6
+  };
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *domains() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_DOMAINS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_DOMAINS) &&
+           verifier.VerifyVector(domains()) &&
+           verifier.VerifyVectorOfStrings(domains()) &&
+           verifier.EndTable();
+  }
+  EvacuationsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuations> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationsBuilder {
+  typedef Evacuations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(Evacuations::VT_OFFSET, offset, 0);
+  }
+  void add_domains(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> domains) {
+    fbb_.AddOffset(Evacuations::VT_DOMAINS, domains);
+  }
+  explicit EvacuationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuations>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> domains = 0) {
+  EvacuationsBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_domains(domains);
+  return builder_.Finish();
+}
+
+struct Evacuations::Traits {
+  using type = Evacuations;
+  static auto constexpr Create = CreateEvacuations;
+};
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t offset = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *domains = nullptr) {
+  auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*domains) : 0;
+  return mangovalve::wire::CreateEvacuations(
+      _fbb,
+      offset,
+      domains__);
+}
+
+flatbuffers::Offset<Evacuations> CreateEvacuations(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   std::string host{};
@@ -223,6 +423,10 @@
   std::vector<mangovalve::wire::PartitionOwner> partitions{};
   std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
   std::vector<mangovalve::wire::EndpointLimit> limits{};
+  std::unique_ptr<mangovalve::wire::EvacuationsT> evacuations{};
+  std::vector<mangovalve::wire::ColdEndpoint> cold{};
+  std::vector<mangovalve::wire::TeamServiceUse> team_uses{};
+  std::vector<mangovalve::wire::EndpointSpeed> speeds{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -244,7 +448,11 @@
     VT_TEAMS = 18,
     VT_PARTITIONS = 20,
     VT_EVIDENCE = 22,
-    VT_LIMITS = 24
+    VT_LIMITS = 24,
+    VT_EVACUATIONS = 26,
+    VT_COLD = 28,
+    VT_TEAM_USES = 30,
+    VT_SPEEDS = 32
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -279,6 +487,18 @@
   const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointLimit *> *>(VT_LIMITS);
   }
+  const mangovalve::wire::Evacuations *evacuations() const {
+    return GetPointer<const mangovalve::wire::Evacuations *>(VT_EVACUATIONS);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *> *cold() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *> *>(VT_COLD);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *> *team_uses() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *> *>(VT_TEAM_USES);
+  }
+  const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *>(VT_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -300,6 +520,14 @@
            verifier.VerifyTable(evidence()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyVector(cold()) &&
+           VerifyOffset(verifier, VT_TEAM_USES) &&
+           verifier.VerifyVector(team_uses()) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -344,6 +572,18 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits) {
     fbb_.AddOffset(LoadReport::VT_LIMITS, limits);
   }
+  void add_evacuations(flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations) {
+    fbb_.AddOffset(LoadReport::VT_EVACUATIONS, evacuations);
+  }
+  void add_cold(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold) {
+    fbb_.AddOffset(LoadReport::VT_COLD, cold);
+  }
+  void add_team_uses(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses) {
+    fbb_.AddOffset(LoadReport::VT_TEAM_USES, team_uses);
+  }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds) {
+    fbb_.AddOffset(LoadReport::VT_SPEEDS, speeds);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -369,11 +609,19 @@
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamUse *>> teams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::PartitionOwner *>> partitions = 0,
     flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointLimit *>> limits = 0,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_speeds(speeds);
+  builder_.add_team_uses(team_uses);
+  builder_.add_cold(cold);
+  builder_.add_evacuations(evacuations);
   builder_.add_limits(limits);
   builder_.add_evidence(evidence);
   builder_.add_partitions(partitions);
@@ -402,7 +650,11 @@
     const std::vector<mangovalve::wire::TeamUse> *teams = nullptr,
     const std::vector<mangovalve::wire::PartitionOwner> *partitions = nullptr,
     flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
-    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr) {
+    const std::vector<mangovalve::wire::EndpointLimit> *limits = nullptr,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
+    const std::vector<mangovalve::wire::ColdEndpoint> *cold = nullptr,
+    const std::vector<mangovalve::wire::TeamServiceUse> *team_uses = nullptr,
+    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
@@ -410,6 +662,9 @@
   auto teams__ = teams ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamUse>(*teams) : 0;
   auto partitions__ = partitions ? _fbb.CreateVectorOfStructs<mangovalve::wire::PartitionOwner>(*partitions) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointLimit>(*limits) : 0;
+  auto cold__ = cold ? _fbb.CreateVectorOfStructs<mangovalve::wire::ColdEndpoint>(*cold) : 0;
+  auto team_uses__ = team_uses ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamServiceUse>(*team_uses) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointSpeed>(*speeds) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       host__,
@@ -422,11 +677,44 @@
       teams__,
       partitions__,
       evidence,
-      limits__);
+      limits__,
+      evacuations,
+      cold__,
+      team_uses__,
+      speeds__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline EvacuationsT *Evacuations::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuations::UnPackTo(EvacuationsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = domains(); if (_e) { _o->domains.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domains[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<Evacuations> Evacuations::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuations(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuations(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _offset = _o->offset;
+  auto _domains = _o->domains.size() ? _fbb.CreateVectorOfStrings(_o->domains) : 0;
+  return mangovalve::wire::CreateEvacuations(
+      _fbb,
+      _offset,
+      _domains);
+}
+
 inline LoadReportT::LoadReportT(const LoadReportT &o)
       : host(o.host),
         domain(o.domain),
@@ -438,7 +726,11 @@
         teams(o.teams),
         partitions(o.partitions),
         evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr),
-        limits(o.limits) {
+        limits(o.limits),
+        evacuations((o.evacuations) ? new mangovalve::wire::EvacuationsT(*o.evacuations) : nullptr),
+        cold(o.cold),
+        team_uses(o.team_uses),
+        speeds(o.speeds) {
 }
 
 inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
@@ -453,6 +745,10 @@
   std::swap(partitions, o.partitions);
   std::swap(evidence, o.evidence);
   std::swap(limits, o.limits);
+  std::swap(evacuations, o.evacuations);
+  std::swap(cold, o.cold);
+  std::swap(team_uses, o.team_uses);
+  std::swap(speeds, o.speeds);
   return *this;
 }
 
@@ -476,6 +772,10 @@
   { auto _e = partitions(); if (_e) { _o->partitions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->partitions[_i] = *_e->Get(_i); } } }
   { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::unique_ptr<mangovalve::wire::EvacuationsT>(_e->UnPack(_resolver)); }
+  { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
+  { auto _e = team_uses(); if (_e) { _o->team_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_uses[_i] = *_e->Get(_i); } } }
+  { auto _e = speeds(); if (_e) { _o->speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->speeds[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -497,6 +797,10 @@
   auto _partitions = _o->partitions.size() ? _fbb.CreateVectorOfStructs(_o->partitions) : 0;
   auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _evacuations = _o->evacuations ? CreateEvacuations(_fbb, _o->evacuations.get(), _rehasher) : 0;
+  auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
+  auto _team_uses = _o->team_uses.size() ? _fbb.CreateVectorOfStructs(_o->team_uses) : 0;
+  auto _speeds = _o->speeds.size() ? _fbb.CreateVectorOfStructs(_o->speeds) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       _host,
@@ -509,7 +813,11 @@
       _teams,
       _partitions,
       _evidence,
-      _limits);
+      _limits,
+      _evacuations,
+      _cold,
+      _team_uses,
+      _speeds);
 }
 
 inline const mangovalve::wire::LoadReport *GetLoadReport(const void *buf) {
--- a/mangovalve/peer/state_copy_generated.h
+++ b/mangovalve/peer/state_copy_generated.h
@@ -13,7 +13,7 @@
               FLATBUFFERS_VERSION_REVISION == 8,
              "Non-compatible flatbuffers version included");
 
-#include "crash_evidence_generated.h"
+#include "load_report_generated.h"
 
 namespace mangovalve {
 namespace wire {
@@ -117,6 +117,7 @@
   std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> endpoints{};
   std::vector<std::unique_ptr<mangovalve::wire::RecordCopyT>> hosts{};
   std::unique_ptr<mangovalve::wire::CrashEvidenceT> evidence{};
+  std::unique_ptr<mangovalve::wire::EvacuationsT> evacuations{};
   StateCopyT() = default;
   StateCopyT(const StateCopyT &o);
   StateCopyT(StateCopyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -132,7 +133,8 @@
     VT_DOCUMENT = 6,
     VT_ENDPOINTS = 8,
     VT_HOSTS = 10,
-    VT_EVIDENCE = 12
+    VT_EVIDENCE = 12,
+    VT_EVACUATIONS = 14
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -149,6 +151,9 @@
   const mangovalve::wire::CrashEvidence *evidence() const {
     return GetPointer<const mangovalve::wire::CrashEvidence *>(VT_EVIDENCE);
   }
+  const mangovalve::wire::Evacuations *evacuations() const {
+    return GetPointer<const mangovalve::wire::Evacuations *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -162,6 +167,8 @@
            verifier.VerifyVectorOfTables(hosts()) &&
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyTable(evidence()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
   StateCopyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -188,6 +195,9 @@
   void add_evidence(flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence) {
     fbb_.AddOffset(StateCopy::VT_EVIDENCE, evidence);
   }
+  void add_evacuations(flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations) {
+    fbb_.AddOffset(StateCopy::VT_EVACUATIONS, evacuations);
+  }
   explicit StateCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -205,9 +215,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>> hosts = 0,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0) {
   StateCopyBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_evacuations(evacuations);
   builder_.add_evidence(evidence);
   builder_.add_hosts(hosts);
   builder_.add_endpoints(endpoints);
@@ -226,7 +238,8 @@
     const std::vector<uint8_t> *document = nullptr,
     const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> *hosts = nullptr,
-    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0) {
+    flatbuffers::Offset<mangovalve::wire::CrashEvidence> evidence = 0,
+    flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*endpoints) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>>(*hosts) : 0;
@@ -236,7 +249,8 @@
       document__,
       endpoints__,
       hosts__,
-      evidence);
+      evidence,
+      evacuations);
 }
 
 flatbuffers::Offset<StateCopy> CreateStateCopy(flatbuffers::FlatBufferBuilder &_fbb, const StateCopyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -273,7 +287,8 @@
 inline StateCopyT::StateCopyT(const StateCopyT &o)
       : document_version(o.document_version),
         document(o.document),
-        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr) {
+        evidence((o.evidence) ? new mangovalve::wire::CrashEvidenceT(*o.evidence) : nullptr),
+        evacuations((o.evacuations) ? new mangovalve::wire::EvacuationsT(*o.evacuations) : nullptr) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangovalve::wire::RecordCopyT(*endpoints_) : nullptr); }
   hosts.reserve(o.hosts.size());
@@ -286,6 +301,7 @@
   std::swap(endpoints, o.endpoints);
   std::swap(hosts, o.hosts);
   std::swap(evidence, o.evidence);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -303,6 +319,7 @@
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = std::unique_ptr<mangovalve::wire::RecordCopyT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = evidence(); if (_e) _o->evidence = std::unique_ptr<mangovalve::wire::CrashEvidenceT>(_e->UnPack(_resolver)); }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::unique_ptr<mangovalve::wire::EvacuationsT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StateCopy> StateCopy::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateCopyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -318,13 +335,15 @@
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _hosts = _o->hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangovalve::wire::RecordCopy>> (_o->hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordCopy(*__va->__fbb, __va->__o->hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _evidence = _o->evidence ? CreateCrashEvidence(_fbb, _o->evidence.get(), _rehasher) : 0;
+  auto _evacuations = _o->evacuations ? CreateEvacuations(_fbb, _o->evacuations.get(), _rehasher) : 0;
   return mangovalve::wire::CreateStateCopy(
       _fbb,
       _document_version,
       _document,
       _endpoints,
       _hosts,
-      _evidence);
+      _evidence,
+      _evacuations);
 }
 
 inline const mangovalve::wire::StateCopy *GetStateCopy(const void *buf) {
--- a/mangovalve/serving/document.h
+++ b/mangovalve/serving/document.h
@@ -65,6 +65,12 @@
   std::uint32_t mSlots = 0; // concurrent requests per endpoint; 0: undeclared
   // Per endpoint, from all hosts; 0: no limit.
   std::uint32_t mMaxConnections = 0;
+  // Tokens that an endpoint can hold; 0: undeclared.
+  std::uint64_t mMemoryTokens = 0;
+  // How long an endpoint is cold after its start, and the requests per second
+  // that it takes from all hosts meanwhile. A rate of 0 means no such limit.
+  std::chrono::milliseconds mWarmup{ 0 };
+  double mWarmupRate = 0;
 };
 
 struct ServingTeam
--- a/mangovalve/serving/endpoint_directory.h
+++ b/mangovalve/serving/endpoint_directory.h
@@ -26,6 +26,8 @@
   std::uint32_t mSlots = 1;    // maximum number of concurrent requests
   bool mLeaving = false;       // finishes its requests, then exits
   std::int64_t mStartedMs = 0; // start of this incarnation, Unix time
+  // How much longer the endpoint was cold when it wrote the registration.
+  std::chrono::milliseconds mColdFor{ 0 };
 
   auto operator==(const Registration&) const -> bool = default;
 };
--- a/mangovalve/serving/protocol.h
+++ b/mangovalve/serving/protocol.h
@@ -31,6 +31,10 @@
   // The last part belongs to the request alone and is left out. kWholeRequest
   // is not set.
   std::vector<std::uint64_t> mSharedParts;
+  // Tokens of each of these parts; 0: not stated.
+  std::vector<std::uint32_t> mSharedPartTokens;
+  std::uint32_t mPromptTokens = 0;    // 0: not stated
+  std::uint32_t mMaxOutputTokens = 0; // 0: not stated
 };
 
 // Parts of one prompt that are read; later ones are ignored.
@@ -45,11 +49,17 @@
   std::optional<std::uint64_t> mResumeAfter;
 };
 
+// Load that an endpoint states in a response. An unreadable figure is missing
+// and does not invalidate the others.
 struct ReportedLoad
 {
-  std::uint32_t mRunning = 0;
-  std::uint32_t mWaiting = 0;
-  std::uint32_t mSlots = 0;
+  std::optional<std::uint32_t> mRunning;
+  std::optional<std::uint32_t> mWaiting;
+  std::optional<std::uint32_t> mSlots;
+  // Time that work takes on the endpoint's machine now, relative to its usual
+  // time; above 0.
+  std::optional<double> mWorkFactor;
+  bool mPartlyUnreadable = false;
 };
 
 // Metadata of an endpoint's response.
@@ -68,6 +78,8 @@
   std::optional<double> mLimit;
   bool mLimitUnreadable = false; // there is a limit, but it can't be read
   bool mLeaving = false;         // the endpoint finishes its requests and exits
+  // How much longer the endpoint is cold; empty: not stated.
+  std::optional<std::chrono::milliseconds> mColdFor;
 };
 
 // Operations on a batch job.
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -401,7 +401,11 @@
 {
   const auto total = TotalInFlight(aState, aEndpoint);
   const auto known = static_cast<double>(total.mOnline + total.mBatch);
-  const auto reported = static_cast<double>(aLoad.mRunning + aLoad.mWaiting);
+  if (!aLoad.mRunning || !aLoad.mWaiting) {
+    return;
+  }
+  const auto reported =
+    static_cast<double>(*aLoad.mRunning) + static_cast<double>(*aLoad.mWaiting);
   aEndpoint.mUnaccountedLoad = std::max(0.0, reported - known);
   aEndpoint.mUnaccountedLoadAt = Clock::now();
 }
