Forecast the demand for a service from its last phases; log waits by request

Cause: callers that found no slot returned into the same burst, and batch items started just before one, because no host knew the rate of the next seconds. A request's log line did not say where a late answer had lost its time. Change: each host counts its arrivals by service and reports the rate; the sum over the fleet is divided into phases of high and low rate, whose lengths and rates are the forecast. Nothing uses it yet. The request line has the time to the first slot and to the first event.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -86,7 +86,10 @@
   bool mForwarding = false;           // it is the caller that is awaited
   // When the endpoint ended the connection before it had begun to answer.
   std::optional<TimePoint> mLostAt;
-  std::string mEndpoint; // id of the last endpoint, for the log
+  // For the log.
+  std::string mEndpoint; // id of the last endpoint
+  std::optional<TimePoint> mFirstSlotAt;
+  std::optional<TimePoint> mFirstEventAt; // or the whole answer
 };
 
 // When the caller or the route gives up on the request.
@@ -203,6 +206,7 @@
   // sending side learns whether the request may have run.
   auto EndForGoneCaller() -> Task<>;
   auto Log(std::string_view aOutcome) const -> void;
+  auto MillisSinceArrival(std::optional<TimePoint> aAt) const -> std::string;
   auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
   auto NoteAnswerBegun() -> void;
   // Notes the error of a read or write, if the endpoint has caused it.
@@ -235,10 +239,18 @@
              { "endpoint", mContext.mEndpoint },
              { "attempts", absl::StrCat(mContext.mAttempts) },
              { "refusals", absl::StrCat(mContext.mRefusals) },
+             { "slot_ms", MillisSinceArrival(mContext.mFirstSlotAt) },
+             { "first_ms", MillisSinceArrival(mContext.mFirstEventAt) },
              { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) },
              { "outcome", std::string(aOutcome) } });
 }
 
+auto RelayedRequest::MillisSinceArrival(std::optional<TimePoint> aAt) const
+  -> std::string
+{
+  return aAt ? Millis(*aAt - mContext.mCaller->mArrivedAt) : "none";
+}
+
 auto RelayedRequest::NoteFailure(Endpoint& aEndpoint, std::string_view aReason)
   -> void
 {
@@ -259,6 +271,7 @@
 auto RelayedRequest::NoteAnswerBegun() -> void
 {
   mContext.mAnswerBegun = true;
+  mContext.mFirstEventAt = mContext.mFirstEventAt.value_or(Clock::now());
   RecordStart(mState.mSuspects, mContext.mParts, Clock::now());
 }
 
@@ -399,6 +412,7 @@
       co_return;
     }
     mContext.mEndpoint = slot.mEndpoint->mRegistration.mId;
+    mContext.mFirstSlotAt = mContext.mFirstSlotAt.value_or(Clock::now());
     auto step = co_await Attempt(slot.mEndpoint);
     if (step == StepResult::Failed && mContext.mLostAt) {
       step = co_await ExamineLoss(slot.mEndpoint);
@@ -965,6 +979,7 @@
     co_return;
   }
   context.mService = PickService(*context.mRoute, Uniform(mState.mRandom));
+  CountArrival(mState, context.mService, Clock::now());
   context.mDeadline = DeadlineOf(context);
   if (context.mDeadline <= Clock::now()) {
     co_await refuse(RefusalReason::Overloaded, kRefusedRetryAfter);
--- a/mangovalve/peer/domain_summary_generated.h
+++ b/mangovalve/peer/domain_summary_generated.h
@@ -76,6 +76,7 @@
   std::vector<mangovalve::wire::ColdEndpoint> cold{};
   std::vector<mangovalve::wire::TeamServiceUse> team_uses{};
   std::vector<mangovalve::wire::EndpointSpeed> speeds{};
+  std::vector<mangovalve::wire::ServiceDemand> demands{};
   DomainSummaryT() = default;
   DomainSummaryT(const DomainSummaryT &o);
   DomainSummaryT(DomainSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -102,7 +103,8 @@
     VT_EVACUATIONS = 28,
     VT_COLD = 30,
     VT_TEAM_USES = 32,
-    VT_SPEEDS = 34
+    VT_SPEEDS = 34,
+    VT_DEMANDS = 36
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -152,6 +154,9 @@
   const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *speeds() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *>(VT_SPEEDS);
   }
+  const flatbuffers::Vector<const mangovalve::wire::ServiceDemand *> *demands() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::ServiceDemand *> *>(VT_DEMANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -184,6 +189,8 @@
            verifier.VerifyVector(team_uses()) &&
            VerifyOffset(verifier, VT_SPEEDS) &&
            verifier.VerifyVector(speeds()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
            verifier.EndTable();
   }
   DomainSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -243,6 +250,9 @@
   void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds) {
     fbb_.AddOffset(DomainSummary::VT_SPEEDS, speeds);
   }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceDemand *>> demands) {
+    fbb_.AddOffset(DomainSummary::VT_DEMANDS, demands);
+  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -273,11 +283,13 @@
     flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceDemand *>> demands = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_demands(demands);
   builder_.add_speeds(speeds);
   builder_.add_team_uses(team_uses);
   builder_.add_cold(cold);
@@ -316,7 +328,8 @@
     flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
     const std::vector<mangovalve::wire::ColdEndpoint> *cold = nullptr,
     const std::vector<mangovalve::wire::TeamServiceUse> *team_uses = nullptr,
-    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr) {
+    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr,
+    const std::vector<mangovalve::wire::ServiceDemand> *demands = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
@@ -328,6 +341,7 @@
   auto cold__ = cold ? _fbb.CreateVectorOfStructs<mangovalve::wire::ColdEndpoint>(*cold) : 0;
   auto team_uses__ = team_uses ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamServiceUse>(*team_uses) : 0;
   auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointSpeed>(*speeds) : 0;
+  auto demands__ = demands ? _fbb.CreateVectorOfStructs<mangovalve::wire::ServiceDemand>(*demands) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       host__,
@@ -345,7 +359,8 @@
       evacuations,
       cold__,
       team_uses__,
-      speeds__);
+      speeds__,
+      demands__);
 }
 
 flatbuffers::Offset<DomainSummary> CreateDomainSummary(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -366,7 +381,8 @@
         evacuations((o.evacuations) ? new mangovalve::wire::EvacuationsT(*o.evacuations) : nullptr),
         cold(o.cold),
         team_uses(o.team_uses),
-        speeds(o.speeds) {
+        speeds(o.speeds),
+        demands(o.demands) {
 }
 
 inline DomainSummaryT &DomainSummaryT::operator=(DomainSummaryT o) FLATBUFFERS_NOEXCEPT {
@@ -386,6 +402,7 @@
   std::swap(cold, o.cold);
   std::swap(team_uses, o.team_uses);
   std::swap(speeds, o.speeds);
+  std::swap(demands, o.demands);
   return *this;
 }
 
@@ -414,6 +431,7 @@
   { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
   { auto _e = team_uses(); if (_e) { _o->team_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_uses[_i] = *_e->Get(_i); } } }
   { auto _e = speeds(); if (_e) { _o->speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->speeds[_i] = *_e->Get(_i); } } }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DomainSummary> DomainSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DomainSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -440,6 +458,7 @@
   auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
   auto _team_uses = _o->team_uses.size() ? _fbb.CreateVectorOfStructs(_o->team_uses) : 0;
   auto _speeds = _o->speeds.size() ? _fbb.CreateVectorOfStructs(_o->speeds) : 0;
+  auto _demands = _o->demands.size() ? _fbb.CreateVectorOfStructs(_o->demands) : 0;
   return mangovalve::wire::CreateDomainSummary(
       _fbb,
       _host,
@@ -457,7 +476,8 @@
       _evacuations,
       _cold,
       _team_uses,
-      _speeds);
+      _speeds,
+      _demands);
 }
 
 inline const mangovalve::wire::DomainSummary *GetDomainSummary(const void *buf) {
--- a/mangovalve/peer/load_report_generated.h
+++ b/mangovalve/peer/load_report_generated.h
@@ -34,6 +34,8 @@
 
 struct TeamServiceUse;
 
+struct ServiceDemand;
+
 struct Evacuations;
 struct EvacuationsBuilder;
 struct EvacuationsT;
@@ -328,6 +330,39 @@
   using type = TeamServiceUse;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  float arrivals_per_s_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  ServiceDemand()
+      : service_(0),
+        arrivals_per_s_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServiceDemand(uint64_t _service, float _arrivals_per_s)
+      : service_(flatbuffers::EndianScalar(_service)),
+        arrivals_per_s_(flatbuffers::EndianScalar(_arrivals_per_s)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  float arrivals_per_s() const {
+    return flatbuffers::EndianScalar(arrivals_per_s_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServiceDemand, 16);
+
+struct ServiceDemand::Traits {
+  using type = ServiceDemand;
+};
+
 struct EvacuationsT : public flatbuffers::NativeTable {
   typedef Evacuations TableType;
   uint64_t offset = 0;
@@ -427,6 +462,7 @@
   std::vector<mangovalve::wire::ColdEndpoint> cold{};
   std::vector<mangovalve::wire::TeamServiceUse> team_uses{};
   std::vector<mangovalve::wire::EndpointSpeed> speeds{};
+  std::vector<mangovalve::wire::ServiceDemand> demands{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -452,7 +488,8 @@
     VT_EVACUATIONS = 26,
     VT_COLD = 28,
     VT_TEAM_USES = 30,
-    VT_SPEEDS = 32
+    VT_SPEEDS = 32,
+    VT_DEMANDS = 34
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -499,6 +536,9 @@
   const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *speeds() const {
     return GetPointer<const flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *> *>(VT_SPEEDS);
   }
+  const flatbuffers::Vector<const mangovalve::wire::ServiceDemand *> *demands() const {
+    return GetPointer<const flatbuffers::Vector<const mangovalve::wire::ServiceDemand *> *>(VT_DEMANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOST) &&
@@ -528,6 +568,8 @@
            verifier.VerifyVector(team_uses()) &&
            VerifyOffset(verifier, VT_SPEEDS) &&
            verifier.VerifyVector(speeds()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -584,6 +626,9 @@
   void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds) {
     fbb_.AddOffset(LoadReport::VT_SPEEDS, speeds);
   }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceDemand *>> demands) {
+    fbb_.AddOffset(LoadReport::VT_DEMANDS, demands);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -613,11 +658,13 @@
     flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ColdEndpoint *>> cold = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::TeamServiceUse *>> team_uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::EndpointSpeed *>> speeds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovalve::wire::ServiceDemand *>> demands = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_document(document);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_demands(demands);
   builder_.add_speeds(speeds);
   builder_.add_team_uses(team_uses);
   builder_.add_cold(cold);
@@ -654,7 +701,8 @@
     flatbuffers::Offset<mangovalve::wire::Evacuations> evacuations = 0,
     const std::vector<mangovalve::wire::ColdEndpoint> *cold = nullptr,
     const std::vector<mangovalve::wire::TeamServiceUse> *team_uses = nullptr,
-    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr) {
+    const std::vector<mangovalve::wire::EndpointSpeed> *speeds = nullptr,
+    const std::vector<mangovalve::wire::ServiceDemand> *demands = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointUse>(*endpoints) : 0;
@@ -665,6 +713,7 @@
   auto cold__ = cold ? _fbb.CreateVectorOfStructs<mangovalve::wire::ColdEndpoint>(*cold) : 0;
   auto team_uses__ = team_uses ? _fbb.CreateVectorOfStructs<mangovalve::wire::TeamServiceUse>(*team_uses) : 0;
   auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<mangovalve::wire::EndpointSpeed>(*speeds) : 0;
+  auto demands__ = demands ? _fbb.CreateVectorOfStructs<mangovalve::wire::ServiceDemand>(*demands) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       host__,
@@ -681,7 +730,8 @@
       evacuations,
       cold__,
       team_uses__,
-      speeds__);
+      speeds__,
+      demands__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -730,7 +780,8 @@
         evacuations((o.evacuations) ? new mangovalve::wire::EvacuationsT(*o.evacuations) : nullptr),
         cold(o.cold),
         team_uses(o.team_uses),
-        speeds(o.speeds) {
+        speeds(o.speeds),
+        demands(o.demands) {
 }
 
 inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
@@ -749,6 +800,7 @@
   std::swap(cold, o.cold);
   std::swap(team_uses, o.team_uses);
   std::swap(speeds, o.speeds);
+  std::swap(demands, o.demands);
   return *this;
 }
 
@@ -776,6 +828,7 @@
   { auto _e = cold(); if (_e) { _o->cold.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold[_i] = *_e->Get(_i); } } }
   { auto _e = team_uses(); if (_e) { _o->team_uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_uses[_i] = *_e->Get(_i); } } }
   { auto _e = speeds(); if (_e) { _o->speeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->speeds[_i] = *_e->Get(_i); } } }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -801,6 +854,7 @@
   auto _cold = _o->cold.size() ? _fbb.CreateVectorOfStructs(_o->cold) : 0;
   auto _team_uses = _o->team_uses.size() ? _fbb.CreateVectorOfStructs(_o->team_uses) : 0;
   auto _speeds = _o->speeds.size() ? _fbb.CreateVectorOfStructs(_o->speeds) : 0;
+  auto _demands = _o->demands.size() ? _fbb.CreateVectorOfStructs(_o->demands) : 0;
   return mangovalve::wire::CreateLoadReport(
       _fbb,
       _host,
@@ -817,7 +871,8 @@
       _evacuations,
       _cold,
       _team_uses,
-      _speeds);
+      _speeds,
+      _demands);
 }
 
 inline const mangovalve::wire::LoadReport *GetLoadReport(const void *buf) {
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -606,6 +606,7 @@
     const auto now = Clock::now();
     SyncPools(mState, now);
     UpdatePeerLiveness(mState, now);
+    SampleDemand(mState, now);
     mState.mPool.CloseExpired(now);
     FetchNewerDocument(now);
     WakeFirstWaiterOfEachPool(mState);
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -2,6 +2,7 @@
 #include "mangovalve/serving/fleet_load.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "mangovalve/membership/rendezvous.h"
 
@@ -191,6 +192,21 @@
       add(host, peer.mLast);
     }
   }
+  std::map<std::uint64_t, float> demands;
+  const auto addDemands = [&](const wire::LoadReportT& aReport) {
+    for (const auto& demand : aReport.demands) {
+      demands[demand.service()] += demand.arrivals_per_s();
+    }
+  };
+  addDemands(aOwnReport);
+  for (const auto& [host, peer] : aFleet.mPeers) {
+    if (peer.mDomain == aOwnReport.domain && !peer.mUnresponsive) {
+      addDemands(peer.mLast);
+    }
+  }
+  for (const auto& [service, rate] : demands) {
+    summary.demands.emplace_back(service, rate);
+  }
   for (const auto& [endpoint, use] : sums.mInFlight) {
     summary.endpoints.emplace_back(endpoint, use.mOnline, use.mBatch);
   }
@@ -257,6 +273,30 @@
   return found == aFleet.mWaiting.end() ? 0 : found->second;
 }
 
+auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double
+{
+  auto sum = 0.0;
+  const auto add = [&](const std::vector<wire::ServiceDemand>& aDemands) {
+    for (const auto& demand : aDemands) {
+      const auto rate = static_cast<double>(demand.arrivals_per_s());
+      sum += demand.service() == aService && rate > 0 && std::isfinite(rate)
+               ? rate
+               : 0;
+    }
+  };
+  for (const auto& [host, peer] : aFleet.mPeers) {
+    if (!peer.mUnresponsive) {
+      add(peer.mLast.demands); // empty for the peers of other domains
+    }
+  }
+  for (const auto& [name, domain] : aFleet.mDomains) {
+    if (!domain.mUnresponsive) {
+      add(domain.mLast.demands);
+    }
+  }
+  return sum;
+}
+
 auto ResponsivePeerCount(const FleetLoad& aFleet) -> std::size_t
 {
   return static_cast<std::size_t>(std::count_if(
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -127,6 +127,9 @@
 auto PeerWaiting(const FleetLoad& aFleet, std::uint64_t aService)
   -> std::uint32_t;
 
+// Arrivals per second at the responsive peers.
+auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double;
+
 auto ResponsivePeerCount(const FleetLoad& aFleet) -> std::size_t;
 
 // The last known owner of the partition, if it is responsive, even when it no
--- a/mangovalve/serving/fleet_load_test.cc
+++ b/mangovalve/serving/fleet_load_test.cc
@@ -355,5 +355,40 @@
   }
 }
 
+TEST_CASE("the demand of a service is summed over the fleet")
+{
+  // A host that saw only its own arrivals could not tell phases apart.
+  constexpr std::uint64_t kService = 5;
+  const auto now = TimePoint(std::chrono::hours(1));
+  FleetLoad fleet;
+  wire::LoadReportT peer;
+  peer.host = "b:1";
+  peer.domain = "a";
+  peer.incarnation = 1;
+  peer.sequence = 1;
+  peer.demands.emplace_back(kService, 7.0F);
+  REQUIRE(ApplyReport(fleet, peer, now));
+  wire::LoadReportT own;
+  own.host = "a:1";
+  own.domain = "a";
+  own.demands.emplace_back(kService, 2.0F);
+  const auto summary = SummarizeDomain(fleet, own, now);
+  REQUIRE(summary.demands.size() == 1);
+  CHECK(summary.demands[0].arrivals_per_s() == 9.0F);
+  auto other = summary;
+  other.host = "c:1";
+  other.domain = "z";
+  other.hosts = { "c:1" };
+  other.partitions.clear();
+  other.incarnation = 1;
+  other.sequence = 1;
+  REQUIRE(ApplySummary(fleet, other, "a", now) != SummaryResult::Ignored);
+  CHECK(PeerArrivals(fleet, kService) == 16.0);
+  CHECK(PeerArrivals(fleet, kService + 1) == 0);
+  // An unresponsive peer's last rate says nothing about the present.
+  MarkUnresponsive(fleet, now + std::chrono::seconds(1));
+  CHECK(PeerArrivals(fleet, kService) == 0);
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -518,6 +518,13 @@
                                       endpoint->mOwnInFlight.mBatch);
       }
     }
+    // Rates this low do not change a decision.
+    constexpr double kMinReportedRate = 0.05;
+    const auto arrivals = ArrivalsPerSecond(pool.mArrivals, aNow);
+    if (arrivals >= kMinReportedRate) {
+      report.demands.emplace_back(StableHash(service),
+                                  static_cast<float>(arrivals));
+    }
     if (!pool.mQueue.empty()) {
       report.queues.emplace_back(
         StableHash(service), static_cast<std::uint32_t>(pool.mQueue.size()));
@@ -556,6 +563,39 @@
   return summary;
 }
 
+auto CountArrival(ServingState& aState,
+                  const std::string& aService,
+                  TimePoint aNow) -> void
+{
+  const auto pool = aState.mPools.find(aService);
+  if (pool != aState.mPools.end()) {
+    RecordArrival(pool->second.mArrivals, aNow);
+  }
+}
+
+auto SampleDemand(ServingState& aState, TimePoint aNow) -> void
+{
+  for (auto& [service, pool] : aState.mPools) {
+    const auto rate = ArrivalsPerSecond(pool.mArrivals, aNow) +
+                      PeerArrivals(aState.mFleet, StableHash(service));
+    const auto high = pool.mDemand.mHigh;
+    RecordDemand(pool.mDemand, rate, aNow);
+    if (pool.mDemand.mHigh != high) {
+      const auto end = PhaseEnd(pool.mDemand, aNow);
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end.value_or(aNow) - aNow);
+      LogEvent(Severity::Info,
+               "demand_phase",
+               { { "service", service },
+                 { "high", high ? "0" : "1" },
+                 { "arrivals_per_s", absl::StrCat(rate) },
+                 { "mean", absl::StrCat(pool.mDemand.mMeanRate) },
+                 { "forecast", end ? "1" : "0" },
+                 { "left_ms", absl::StrCat(left.count()) } });
+    }
+  }
+}
+
 auto UpdatePeerLiveness(ServingState& aState, TimePoint aNow) -> void
 {
   std::vector<std::string> removed;
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -16,6 +16,7 @@
 #include "mangovalve/loop/http_client.h"
 #include "mangovalve/loop/wakeup.h"
 #include "mangovalve/routing/crash_suspects.h"
+#include "mangovalve/routing/demand_cycle.h"
 #include "mangovalve/routing/endpoint_activity.h"
 #include "mangovalve/routing/endpoint_limit.h"
 #include "mangovalve/routing/health.h"
@@ -93,6 +94,8 @@
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
+  ArrivalRate mArrivals; // of online requests at this host
+  DemandCycle mDemand;   // of all hosts
 };
 
 // Answers that this daemon keeps at the same time until they are complete.
@@ -272,4 +275,12 @@
 // this daemon's share of the rates to the number of responsive peers.
 auto UpdatePeerLiveness(ServingState& aState, TimePoint aNow) -> void;
 
+// Counts an online request for the service.
+auto CountArrival(ServingState& aState,
+                  const std::string& aService,
+                  TimePoint aNow) -> void;
+
+// Samples the demand for each service. Call it several times per second.
+auto SampleDemand(ServingState& aState, TimePoint aNow) -> void;
+
 } // namespace mangovalve
