Take only this host's share of the free slots between two reports

Cause: in a burst all hosts saw the same free slots of other domains, up to half a second old, and each one took all of them. Change: until newer reports arrive, a host takes its share of the free slots of a domain, in proportion to the arrivals at the hosts that compete, unless there are plenty. A slot that its own request frees is its own again.

--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -63,6 +63,7 @@
   auto endpoint = PlaceRequest(aState, aPool, aTried, now);
   if (endpoint) {
     RecordSent(endpoint->mStatements->mLimit, now);
+    TakeSlotOf(aPool, *endpoint);
   }
   return endpoint;
 }
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -19,12 +19,6 @@
          aCandidate.mUnseen;
 }
 
-// Slots that online requests can use once batch items are preempted.
-auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double
-{
-  return Slots(aCandidate) - aCandidate.mOnline - aCandidate.mUnseen;
-}
-
 auto IsExcluded(std::span<const std::size_t> aExcluded, std::size_t aIndex)
   -> bool
 {
@@ -95,6 +89,11 @@
 
 } // namespace
 
+auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double
+{
+  return Slots(aCandidate) - aCandidate.mOnline - aCandidate.mUnseen;
+}
+
 auto PlaceOnline(std::span<const PlacementCandidate> aCandidates,
                  std::span<const std::size_t> aExcluded,
                  const PlacementPolicy& aPolicy,
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -46,6 +46,10 @@
   double mFreeSlotPower = 2;
 };
 
+// Slots that online requests can use once batch items are preempted; negative
+// if online requests wait at the endpoint.
+auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double;
+
 // Index of the endpoint for an online request; nullopt if online requests hold
 // all slots. aExcluded has the candidates at which the request has failed.
 auto PlaceOnline(std::span<const PlacementCandidate> aCandidates,
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -98,6 +98,21 @@
   aFleet.mPeers[aSummary.host].mLast.document = aSummary.document;
 }
 
+// Reported arrivals per second for a service. Peers of other domains report
+// none themselves.
+auto ArrivalsIn(const std::vector<wire::ServiceDemand>& aDemands,
+                std::uint64_t aService) -> double
+{
+  auto sum = 0.0;
+  for (const auto& demand : aDemands) {
+    const auto rate = static_cast<double>(demand.arrivals_per_s());
+    sum += demand.service() == aService && rate > 0 && std::isfinite(rate)
+             ? rate
+             : 0;
+  }
+  return sum;
+}
+
 } // namespace
 
 auto AddPeer(FleetLoad& aFleet,
@@ -276,22 +291,33 @@
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double
 {
   auto sum = 0.0;
-  const auto add = [&](const std::vector<wire::ServiceDemand>& aDemands) {
-    for (const auto& demand : aDemands) {
-      const auto rate = static_cast<double>(demand.arrivals_per_s());
-      sum += demand.service() == aService && rate > 0 && std::isfinite(rate)
-               ? rate
-               : 0;
-    }
-  };
   for (const auto& [host, peer] : aFleet.mPeers) {
     if (!peer.mUnresponsive) {
-      add(peer.mLast.demands); // empty for the peers of other domains
+      sum += ArrivalsIn(peer.mLast.demands, aService);
     }
   }
   for (const auto& [name, domain] : aFleet.mDomains) {
     if (!domain.mUnresponsive) {
-      add(domain.mLast.demands);
+      sum += ArrivalsIn(domain.mLast.demands, aService);
+    }
+  }
+  return sum;
+}
+
+auto DomainArrivals(const FleetLoad& aFleet,
+                    const std::string& aDomain,
+                    std::uint64_t aService) -> double
+{
+  const auto domain = aFleet.mDomains.find(aDomain);
+  if (domain != aFleet.mDomains.end()) {
+    return domain->second.mUnresponsive
+             ? 0
+             : ArrivalsIn(domain->second.mLast.demands, aService);
+  }
+  auto sum = 0.0;
+  for (const auto& [host, peer] : aFleet.mPeers) {
+    if (!peer.mUnresponsive && peer.mDomain == aDomain) {
+      sum += ArrivalsIn(peer.mLast.demands, aService);
     }
   }
   return sum;
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -130,6 +130,11 @@
 // Arrivals per second at the responsive peers.
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double;
 
+// The same at the hosts of one failure domain.
+auto DomainArrivals(const FleetLoad& aFleet,
+                    const std::string& aDomain,
+                    std::uint64_t aService) -> double;
+
 auto ResponsivePeerCount(const FleetLoad& aFleet) -> std::size_t;
 
 // The last known owner of the partition, if it is responsive, even when it no
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -146,6 +146,108 @@
   return responsive / registered;
 }
 
+// Age up to which this host's share of the own domain's slots is used; about
+// the interval of the peers' reports.
+constexpr auto kOwnShareInterval = std::chrono::milliseconds(80);
+
+// Usual age of a summary when the next one arrives.
+constexpr auto kOtherShareInterval = std::chrono::milliseconds(300);
+
+// A domain with a smaller fraction of its slots left for online requests
+// competes for slots of other domains.
+constexpr double kShortFraction = 0.1;
+
+struct DomainRoom
+{
+  double mSlots = 0;
+  double mFree = 0; // for online requests
+};
+
+// Room of each failure domain of the pool, by the same candidates.
+auto RoomByDomain(const ServicePool& aPool,
+                  std::span<const PlacementCandidate> aCandidates)
+  -> std::map<std::string, DomainRoom>
+{
+  std::map<std::string, DomainRoom> rooms;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aCandidates[i].mUsable) {
+      auto& room = rooms[aPool.mEndpoints[i]->mRegistration.mDomain];
+      room.mSlots += aCandidates[i].mSlots;
+      room.mFree += std::max(0.0, ReclaimableSlots(aCandidates[i]));
+    }
+  }
+  return rooms;
+}
+
+// Renews the shares of the free slots of the other domains of which there are
+// newer summaries.
+auto RenewOtherShares(ServingState& aState,
+                      ServicePool& aPool,
+                      std::span<const PlacementCandidate> aCandidates) -> void
+{
+  const auto& fleet = aState.mFleet;
+  auto due = false;
+  for (const auto& [name, domain] : fleet.mDomains) {
+    if (domain.mUnresponsive || domain.mLastReportAt == TimePoint{}) {
+      aPool.mShares.erase(name);
+    } else {
+      due = due || aPool.mShares[name].mAsOf != domain.mLastReportAt;
+    }
+  }
+  if (!due) {
+    return;
+  }
+  const auto rooms = RoomByDomain(aPool, aCandidates);
+  const auto service = StableHash(aPool.mEndpoints[0]->mRegistration.mService);
+  const auto own = ArrivalsPerSecond(aPool.mArrivals, Clock::now());
+  auto competing = DomainArrivals(fleet, aState.mDomain, service);
+  const auto isShort = [](const DomainRoom& aRoom) {
+    return aRoom.mFree < kShortFraction * aRoom.mSlots;
+  };
+  for (const auto& [name, room] : rooms) {
+    if (name != aState.mDomain && isShort(room)) {
+      competing += DomainArrivals(fleet, name, service);
+    }
+  }
+  for (auto& [name, share] : aPool.mShares) {
+    const auto room = rooms.find(name);
+    const auto found = fleet.mDomains.find(name);
+    if (found != fleet.mDomains.end() &&
+        share.mAsOf != found->second.mLastReportAt) {
+      RenewShare(share,
+                 room == rooms.end() ? 0 : room->second.mFree,
+                 { own, competing, kOtherShareInterval },
+                 found->second.mLastReportAt,
+                 aState.mRandom);
+    }
+  }
+}
+
+// Renews the share of the own domain's free slots.
+auto RenewOwnShare(ServingState& aState, ServicePool& aPool, TimePoint aNow)
+  -> SlotShare&
+{
+  auto& share = aPool.mShares[aState.mDomain];
+  if (aNow < share.mAsOf + kOwnShareInterval) {
+    return share;
+  }
+  auto free = 0.0;
+  for (const auto& endpoint : aPool.mEndpoints) {
+    if (endpoint->mOwnDomain) {
+      const auto candidate =
+        CandidateOf(aState, *endpoint, LimitedUse::Needed, aNow);
+      free +=
+        candidate.mUsable ? std::max(0.0, ReclaimableSlots(candidate)) : 0;
+    }
+  }
+  const auto service = StableHash(aPool.mEndpoints[0]->mRegistration.mService);
+  const auto own = ArrivalsPerSecond(aPool.mArrivals, aNow);
+  const auto others = DomainArrivals(aState.mFleet, aState.mDomain, service);
+  RenewShare(
+    share, free, { own, others, kOwnShareInterval }, aNow, aState.mRandom);
+  return share;
+}
+
 } // namespace
 
 auto ActivateDocument(ServingState& aState,
@@ -256,14 +358,19 @@
 }
 
 auto PlaceRequest(ServingState& aState,
-                  const ServicePool& aPool,
+                  ServicePool& aPool,
                   std::span<const std::string> aTried,
                   TimePoint aNow) -> EndpointPtr
 {
+  if (aPool.mEndpoints.empty()) {
+    return nullptr;
+  }
+  const auto mayUseOwn = MayTakeSlot(RenewOwnShare(aState, aPool, aNow));
   std::vector<PlacementCandidate> near;
   std::vector<EndpointPtr> nearEndpoints;
   for (const auto& endpoint : aPool.mEndpoints) {
-    if (endpoint->mOwnDomain && !IsIn(aTried, endpoint->mRegistration.mId)) {
+    if (mayUseOwn && endpoint->mOwnDomain &&
+        !IsIn(aTried, endpoint->mRegistration.mId)) {
       near.push_back(CandidateOf(aState, *endpoint, LimitedUse::Surplus, aNow));
       nearEndpoints.push_back(endpoint);
     }
@@ -273,9 +380,16 @@
     return nearEndpoints[*place];
   }
   const auto candidates = Candidates(aState, aPool, LimitedUse::Needed, aNow);
+  RenewOtherShares(aState, aPool, candidates);
   std::vector<std::size_t> excluded;
   for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
-    if (IsIn(aTried, aPool.mEndpoints[i]->mRegistration.mId)) {
+    const auto& endpoint = *aPool.mEndpoints[i];
+    const auto share = aPool.mShares.find(endpoint.mRegistration.mDomain);
+    // Unhealthy endpoints are candidates only if there are no others.
+    const auto used = share != aPool.mShares.end() &&
+                      !MayTakeSlot(share->second) &&
+                      IsAvailable(aState, endpoint, aNow);
+    if (used || IsIn(aTried, endpoint.mRegistration.mId)) {
       excluded.push_back(i);
     }
   }
@@ -321,6 +435,14 @@
                    aNow);
 }
 
+auto TakeSlotOf(ServicePool& aPool, const Endpoint& aEndpoint) -> void
+{
+  const auto share = aPool.mShares.find(aEndpoint.mRegistration.mDomain);
+  if (share != aPool.mShares.end()) {
+    TakeSlot(share->second);
+  }
+}
+
 ScopedInFlight::ScopedInFlight(ServingState& aState,
                                EndpointPtr aEndpoint,
                                Workload aWork)
@@ -336,6 +458,13 @@
   --Count();
   const auto pool = mState.mPools.find(mEndpoint->mRegistration.mService);
   if (pool != mState.mPools.end()) {
+    if (mWork == Workload::Online) {
+      auto& shares = pool->second.mShares;
+      const auto share = shares.find(mEndpoint->mRegistration.mDomain);
+      if (share != shares.end()) {
+        ReturnSlot(share->second);
+      }
+    }
     WakeFirstWaiter(pool->second);
   }
 }
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -21,6 +21,7 @@
 #include "mangovalve/routing/endpoint_limit.h"
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
+#include "mangovalve/routing/slot_share.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/endpoint_directory.h"
 #include "mangovalve/serving/fleet_load.h"
@@ -94,8 +95,10 @@
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
-  ArrivalRate mArrivals; // of online requests at this host
-  DemandCycle mDemand;   // of all hosts
+  ArrivalRate mArrivals;                    // of online requests at this host
+  DemandCycle mDemand;                      // of all hosts
+  // By failure domain; none for domains of which nothing is reported.
+  std::map<std::string, SlotShare> mShares;
 };
 
 // Answers that this daemon keeps at the same time until they are complete.
@@ -201,11 +204,15 @@
 // requests hold all slots, or the endpoints' limits allow no request now. The
 // caller calls RecordSent for it before it decides about another request. Other
 // domains are examined only if no endpoint of the own domain has a free slot.
+// Renews this host's shares of the free slots, but takes none from them.
 auto PlaceRequest(ServingState& aState,
-                  const ServicePool& aPool,
+                  ServicePool& aPool,
                   std::span<const std::string> aTried,
                   TimePoint aNow) -> EndpointPtr;
 
+// Records that a request of this host takes a slot of the endpoint.
+auto TakeSlotOf(ServicePool& aPool, const Endpoint& aEndpoint) -> void;
+
 // Counts one request as in flight at an endpoint during its lifetime.
 class ScopedInFlight
 {
