Share free slots unless there are five times the arrivals of an interval

Cause: the measured rate lags behind a sudden rise, so twice the arrivals counted as plenty just when a burst began. Change: five times the arrivals.

--- a/mangovalve/routing/slot_share.cc
+++ b/mangovalve/routing/slot_share.cc
@@ -12,8 +12,8 @@
                 TimePoint aAsOf,
                 Random& aRandom) -> void
 {
-  // Arrivals vary, so twice as many slots as expected arrivals are plenty.
-  constexpr double kPlenty = 2;
+  // The rate lags behind a sudden rise, which may be fivefold.
+  constexpr double kPlenty = 5;
   // A host whose arrivals have just begun must not be left without a share.
   constexpr double kMinArrivals = 1;
   const auto own = std::max(aCompetition.mOwn, kMinArrivals);
