Send no requests to failure domains that operators have ordered to evacuate

Cause: an order to evacuate a domain is a record in the configuration table that no host read, so its endpoints kept getting requests.

Change: each host keeps the set of evacuated domains as of an offset of the table; of two sets the one with the higher offset is in force. It comes from the store, load reports, domain summaries and state copies. Evacuated endpoints are no candidates for requests, retries or batch items, also where no endpoint is healthy, and a request that was still connecting goes elsewhere. Requests for a service whose endpoints are all evacuated do not wait. A host is ready only when it knows the set; until then it gives no state copies, because a copy without the set is taken for one of an earlier version. FollowTable passes on the offset as of which a loaded table is known.

--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -59,6 +59,7 @@
                        aSettings,
                        platform::MakeProtocol(),
                        { platform::kConfigurationKey,
+                         platform::kEvacuationPrefix,
                          platform::ReadDocument,
                          platform::ReadRegistration,
                          platform::SameRegistration },
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -497,8 +497,12 @@
   if (aRun->mStopped || aRun->mItem.mJob->mEnded) {
     co_return RunOutcome::Interrupted;
   }
-  if (IsQuarantined(aRun->mItem, Clock::now())) {
+  const auto quarantined = IsQuarantined(aRun->mItem, Clock::now());
+  if (quarantined) {
     item.mNotBefore = Clock::now() + mPolicy.mQuarantineCheckInterval;
+  }
+  // The order may have arrived while the connection was opened.
+  if (quarantined || endpoint.mEvacuated) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -518,13 +518,17 @@
     RecordExchange(mState, *aEndpoint, ExchangeResult::Refused);
     co_return StepResult::NotRun;
   }
-  if (QuarantinedUntil() && !TakeTrial(mState, mContext.mParts, Clock::now())) {
+  // The order may have arrived while the connection was opened.
+  const auto evacuated = aEndpoint->mEvacuated;
+  if (evacuated || (QuarantinedUntil() &&
+                    !TakeTrial(mState, mContext.mParts, Clock::now()))) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
                          usableUntil,
                          IdleConnectionLimit(mState, *aEndpoint));
-    co_return StepResult::NoRetry;
+    mContext.mRefusals += evacuated ? 1 : 0;
+    co_return evacuated ? StepResult::NotRun : StepResult::NoRetry;
   }
   auto& stream = (*connection)->mStream;
   mContext.mCaller->mInterrupt = [&stream] { stream.close(); };
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -98,7 +98,8 @@
                     aState.mAnswerBy.value_or(TimePoint::max()));
   };
   EndpointPtr endpoint;
-  while (!endpoint && Clock::now() < deadline() && !caller.Disconnected()) {
+  while (!endpoint && Clock::now() < deadline() && !caller.Disconnected() &&
+         !AllEvacuated(aPool)) {
     // Nothing else notifies when a limit allows the next request.
     const auto nextAt = NextLimitedAt(aState, aPool, Clock::now());
     co_await wakeup.WaitUntil(std::min(deadline(), nextAt));
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -235,7 +235,8 @@
 
 auto ServingDaemon::Ready() const -> bool
 {
-  return !mDraining && mState.mDocument && mEndpointsLoaded;
+  return !mDraining && mState.mDocument && mEndpointsLoaded &&
+         mState.mEvacuations.mAsOf;
 }
 
 auto ServingDaemon::HandleReadiness(CallerPtr aCaller,
@@ -303,8 +304,13 @@
     co_return;
   }
   Response response(http::status::ok, 11);
-  if (aRequest->target() == kStatePath &&
-      mStateCopiesInProgress >= kMaxStateCopies) {
+  const auto copiesState =
+    aRequest->target() == kStatePath || aRequest->target() == kDocumentPath;
+  // A copy without the evacuations would be taken for one of an earlier
+  // version, which knows none.
+  if ((copiesState && !mState.mEvacuations.mAsOf) ||
+      (aRequest->target() == kStatePath &&
+       mStateCopiesInProgress >= kMaxStateCopies)) {
     response.result(http::status::service_unavailable);
   } else if (aRequest->target() == kStatePath) {
     response.body() = PackTable<wire::StateCopy>(CopyState());
@@ -339,6 +345,51 @@
   }
 }
 
+auto ServingDaemon::CheckEvacuationKey(const KeyedRecord& aRecord) -> void
+{
+  const auto& prefix = mReaders.mEvacuationPrefix;
+  if (!IsEvacuationKey(aRecord.mKey, prefix) ||
+      EvacuatedDomain(aRecord.mKey, prefix)) {
+    return;
+  }
+  if (aRecord.mValue.empty()) {
+    mUnreadableKeys.erase(aRecord.mKey);
+  } else if (mUnreadableKeys.size() < kMaxEvacuations &&
+             mUnreadableKeys.insert(aRecord.mKey).second) {
+    LogEvent(Severity::Warn,
+             "evacuation_unreadable",
+             { { "key", aRecord.mKey.substr(0, kMaxDomainBytes) } });
+  }
+}
+
+auto ServingDaemon::ApplyConfigurationRecord(const KeyedRecord& aRecord) -> void
+{
+  CheckEvacuationKey(aRecord);
+  ApplyEvacuations(
+    mState,
+    WithRecord(mState.mEvacuations, aRecord, mReaders.mEvacuationPrefix),
+    "store");
+  if (aRecord.mKey == mReaders.mDocumentKey && !aRecord.mValue.empty()) {
+    ApplyDocument(aRecord.mValue, "store");
+  }
+}
+
+auto ServingDaemon::ReplaceConfiguration(
+  const std::vector<KeyedRecord>& aRecords,
+  Offset aAsOf) -> void
+{
+  // Before the document, with which this host begins to serve.
+  ApplyEvacuations(mState,
+                   ReadEvacuations(aRecords, mReaders.mEvacuationPrefix, aAsOf),
+                   "store");
+  for (const auto& record : aRecords) {
+    CheckEvacuationKey(record);
+    if (record.mKey == mReaders.mDocumentKey && !record.mValue.empty()) {
+      ApplyDocument(record.mValue, "store");
+    }
+  }
+}
+
 auto ServingDaemon::ApplyEndpointRecord(const KeyedRecord& aRecord) -> void
 {
   const auto known = mEndpointBytes.find(aRecord.mKey);
@@ -392,11 +443,6 @@
 
 auto ServingDaemon::StartTableFollowers() -> void
 {
-  const auto applyDocument = [this](const KeyedRecord& aRecord) {
-    if (aRecord.mKey == mReaders.mDocumentKey && !aRecord.mValue.empty()) {
-      ApplyDocument(aRecord.mValue, "store");
-    }
-  };
   const auto applyHost = [this](const KeyedRecord& aRecord) {
     if (aRecord.mKey == mState.mHost) {
       return;
@@ -407,24 +453,30 @@
       AddPeer(mState.mFleet, aRecord.mKey, aRecord.mValue, Clock::now());
     }
   };
-  const auto each = [](const auto& aApply) {
-    return [aApply](const std::vector<KeyedRecord>& aRecords) {
+  const auto replaceHosts =
+    [applyHost](const std::vector<KeyedRecord>& aRecords, Offset /*aAsOf*/) {
       for (const auto& record : aRecords) {
-        aApply(record);
+        applyHost(record);
       }
     };
-  };
   const auto ignoreContact = [](bool) {};
   Spawn(mLoop,
-        FollowTable(mTables,
-                    Table::Configuration,
-                    kDocumentPolicy,
-                    { each(applyDocument), applyDocument, ignoreContact }));
+        FollowTable(
+          mTables,
+          Table::Configuration,
+          kDocumentPolicy,
+          { [this](const std::vector<KeyedRecord>& aRecords, Offset aAsOf) {
+             ReplaceConfiguration(aRecords, aAsOf);
+           },
+            [this](const KeyedRecord& aRecord) {
+              ApplyConfigurationRecord(aRecord);
+            },
+            ignoreContact }));
   Spawn(mLoop,
         FollowTable(mTables,
                     Table::Hosts,
                     kHostsPolicy,
-                    { each(applyHost), applyHost, ignoreContact }));
+                    { replaceHosts, applyHost, ignoreContact }));
   const auto recordContact = [this](bool aAnswered) {
     const auto now = Clock::now();
     RecordStoreContact(mState.mDirectory, aAnswered, now);
@@ -434,9 +486,8 @@
         FollowTable(mTables,
                     Table::Endpoints,
                     kEndpointsPolicy,
-                    { [this](const std::vector<KeyedRecord>& aRecords) {
-                       ReplaceEndpoints(aRecords);
-                     },
+                    { [this](const std::vector<KeyedRecord>& aRecords,
+                             Offset /*aAsOf*/) { ReplaceEndpoints(aRecords); },
                       [this](const KeyedRecord& aRecord) {
                         ApplyEndpointRecord(aRecord);
                       },
@@ -451,6 +502,7 @@
   wire::StateCopyT copy;
   copy.document_version = mState.mDocument ? mState.mDocument->mVersion : 0;
   copy.document.assign(mDocumentBytes.begin(), mDocumentBytes.end());
+  copy.evacuations = ToWire(mState.mEvacuations);
   return copy;
 }
 
@@ -493,6 +545,13 @@
   if (!copy) {
     co_return;
   }
+  // Before the document, with which this host begins to serve. A peer of an
+  // earlier version knows no evacuations; any peer that knows some has a higher
+  // offset.
+  ApplyEvacuations(mState,
+                   copy->evacuations ? FromWire(*copy->evacuations)
+                                     : EvacuationSet{ 0, {} },
+                   aPeer);
   if (!copy->document.empty()) {
     ApplyDocument(std::string(copy->document.begin(), copy->document.end()),
                   aPeer);
@@ -534,14 +593,17 @@
   constexpr auto kStoreHeadStart = milliseconds(600);
   constexpr auto kRetryInterval = milliseconds(500);
   co_await SleepUntil(Clock::now() + kStoreHeadStart);
-  while (!mState.mDocument || !mEndpointsLoaded) {
+  const auto complete = [this] {
+    return mState.mDocument && mEndpointsLoaded && mState.mEvacuations.mAsOf;
+  };
+  while (!complete()) {
     auto peers = mSettings.mSeeds;
     for (const auto& [host, peer] : mState.mFleet.mPeers) {
       peers.push_back(host);
     }
     Shuffle(peers, mState.mRandom);
     for (const auto& peer : peers) {
-      if (mState.mDocument && mEndpointsLoaded) {
+      if (complete()) {
         break;
       }
       if (peer != mSettings.mOperators && peer != mState.mHost) {
@@ -609,6 +671,9 @@
     SampleDemand(mState, now);
     mState.mPool.CloseExpired(now);
     FetchNewerDocument(now);
+    if (mEndpointsLoaded && now >= mState.mStartedAt + kSettlingTime) {
+      CheckEvacuations(mState);
+    }
     WakeFirstWaiterOfEachPool(mState);
     co_await SleepUntil(now + kMaintenanceInterval);
   }
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "mangovalve/batch/job_service.h"
@@ -21,6 +22,9 @@
 struct RecordReaders
 {
   std::string mDocumentKey; // of the document in Table::Configuration
+  // In the same table, of the keys of orders to evacuate a failure domain; the
+  // domain's name follows. Empty: there are no such orders.
+  std::string mEvacuationPrefix;
   std::function<auto(const std::string&)->Result<ServingDocument, std::string>>
     mReadDocument;
   std::function<auto(const std::string& aId, const std::string& aBytes)
@@ -78,6 +82,11 @@
   auto StartTableFollowers() -> void;
   auto ApplyDocument(const std::string& aBytes, std::string_view aSource)
     -> void;
+  auto ApplyConfigurationRecord(const KeyedRecord& aRecord) -> void;
+  auto ReplaceConfiguration(const std::vector<KeyedRecord>& aRecords,
+                            Offset aAsOf) -> void;
+  // Logs an order whose key can't be read, once.
+  auto CheckEvacuationKey(const KeyedRecord& aRecord) -> void;
   auto ApplyEndpointRecord(const KeyedRecord& aRecord) -> void;
   auto ApplyEndpointPage(const std::vector<KeyedRecord>& aRecords) -> void;
   auto ReplaceEndpoints(const std::vector<KeyedRecord>& aRecords) -> void;
@@ -117,6 +126,8 @@
   // Records as read from the store, copied to other daemons on request.
   std::string mDocumentBytes;
   std::map<std::string, std::string> mEndpointBytes; // by endpoint id
+  // Keys of orders that were logged as unreadable.
+  std::set<std::string> mUnreadableKeys;
   bool mEndpointsLoaded = false; // at least the first page of them
   int mStateCopiesInProgress = 0;
   bool mDraining = false;
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -10,6 +10,7 @@
 #include "mangovalve/base/id.h"
 #include "mangovalve/membership/rendezvous.h"
 #include "mangovalve/serving/endpoint_statements.h"
+#include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
@@ -58,6 +59,47 @@
   return aEndpoint.mRegistration.mLeaving || aEndpoint.mStatements->mLeaving;
 }
 
+// Whether the endpoint may receive new requests, apart from its health and its
+// limit.
+auto MayGetRequests(const ServingState& aState, const Endpoint& aEndpoint)
+  -> bool
+{
+  return !aEndpoint.mEvacuated && !IsLeaving(aEndpoint) &&
+         !IsCutOff(aState, aEndpoint);
+}
+
+auto LogEvacuation(const ServingState& aState,
+                   const std::string& aChange,
+                   const std::string& aDomain,
+                   std::string_view aSource) -> void
+{
+  FindCounter("mangovalve_evacuations_total", { { "change", aChange } }).Add();
+  LogEvent(Severity::Info,
+           absl::StrCat("evacuation_", aChange),
+           { { "domain", aDomain },
+             { "as_of", absl::StrCat(aState.mEvacuations.mAsOf.value_or(0)) },
+             { "source", std::string(aSource) } });
+}
+
+// Whether a host or an endpoint of the failure domain is known.
+auto IsKnownDomain(const ServingState& aState, const std::string& aDomain)
+  -> bool
+{
+  const auto& peers = aState.mFleet.mPeers;
+  const auto& endpoints = aState.mDirectory.mEntries;
+  return aDomain == aState.mDomain ||
+         aState.mFleet.mDomains.contains(aDomain) ||
+         std::any_of(peers.begin(),
+                     peers.end(),
+                     [&](const auto& aPeer) {
+                       return aPeer.second.mDomain == aDomain;
+                     }) ||
+         std::any_of(
+           endpoints.begin(), endpoints.end(), [&](const auto& aEntry) {
+             return aEntry.second.mRegistration.mDomain == aDomain;
+           });
+}
+
 auto IsIn(std::span<const std::string> aIds, const std::string& aId) -> bool
 {
   return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
@@ -96,6 +138,8 @@
   endpoint->mRegistration = aRegistration;
   endpoint->mStatements = StatementsOf(aState, aRegistration, aNow);
   endpoint->mOwnDomain = aRegistration.mDomain == aState.mDomain;
+  endpoint->mEvacuated =
+    aState.mEvacuations.mDomains.contains(aRegistration.mDomain);
 }
 
 auto RemoveMissingEndpoints(ServingState& aState) -> void
@@ -138,6 +182,15 @@
   }
 }
 
+auto ApplyPeerEvacuations(ServingState& aState,
+                          const wire::EvacuationsT* aEvacuations,
+                          const std::string& aHost) -> void
+{
+  if (aEvacuations != nullptr) {
+    ApplyEvacuations(aState, FromWire(*aEvacuations), aHost);
+  }
+}
+
 auto ShareOfRates(const ServingState& aState) -> double
 {
   const auto responsive =
@@ -297,12 +350,62 @@
   }
 }
 
+auto ApplyEvacuations(ServingState& aState,
+                      EvacuationSet aSet,
+                      std::string_view aSource) -> void
+{
+  if (!Supersedes(aSet, aState.mEvacuations)) {
+    return;
+  }
+  const auto change = CompareEvacuations(aState.mEvacuations, aSet);
+  aState.mEvacuations = std::move(aSet);
+  for (const auto& domain : change.mOrdered) {
+    LogEvacuation(aState, "ordered", domain, aSource);
+  }
+  for (const auto& domain : change.mRevoked) {
+    LogEvacuation(aState, "revoked", domain, aSource);
+    aState.mCheckedEvacuations.erase(domain);
+  }
+  if (change.mOrdered.empty() && change.mRevoked.empty()) {
+    return;
+  }
+  const auto& domains = aState.mEvacuations.mDomains;
+  for (auto& [service, pool] : aState.mPools) {
+    for (const auto& endpoint : pool.mEndpoints) {
+      endpoint->mEvacuated = domains.contains(endpoint->mRegistration.mDomain);
+    }
+  }
+  WakeFirstWaiterOfEachPool(aState);
+}
+
+auto CheckEvacuations(ServingState& aState) -> void
+{
+  for (const auto& domain : aState.mEvacuations.mDomains) {
+    if (!aState.mCheckedEvacuations.insert(domain).second) {
+      continue;
+    }
+    if (!IsKnownDomain(aState, domain)) {
+      LogEvent(Severity::Warn,
+               "evacuation_of_unknown_domain",
+               { { "domain", domain } });
+    }
+  }
+}
+
+auto AllEvacuated(const ServicePool& aPool) -> bool
+{
+  return !aPool.mEndpoints.empty() &&
+         std::all_of(
+           aPool.mEndpoints.begin(),
+           aPool.mEndpoints.end(),
+           [](const EndpointPtr& aEndpoint) { return aEndpoint->mEvacuated; });
+}
+
 auto IsAvailable(const ServingState& aState,
                  const Endpoint& aEndpoint,
                  TimePoint aNow) -> bool
 {
-  return !IsLeaving(aEndpoint) && !IsCutOff(aState, aEndpoint) &&
-         Usable(aEndpoint.mHealth, aNow);
+  return MayGetRequests(aState, aEndpoint) && Usable(aEndpoint.mHealth, aNow);
 }
 
 auto Candidates(const ServingState& aState,
@@ -318,11 +421,10 @@
     usable = usable || IsAvailable(aState, *endpoint, aNow);
   }
   // If no endpoint is healthy, try those that can be reached instead of
-  // refusing every request.
+  // refusing every request. Evacuated ones are not tried.
   for (std::size_t i = 0; !usable && i < candidates.size(); ++i) {
     const auto& endpoint = *aPool.mEndpoints[i];
-    candidates[i].mUsable = !IsLeaving(endpoint) &&
-                            !IsCutOff(aState, endpoint) &&
+    candidates[i].mUsable = MayGetRequests(aState, endpoint) &&
                             MaySend(endpoint.mStatements->mLimit, aUse, aNow);
   }
   return candidates;
@@ -552,12 +654,14 @@
   const auto wasUnresponsive =
     known == aState.mFleet.mPeers.end() || known->second.mUnresponsive;
   const auto evidence = std::move(aReport.evidence);
+  const auto evacuations = std::move(aReport.evacuations);
   if (!ApplyReport(aState.mFleet, std::move(aReport), aNow)) {
     return;
   }
   ApplyLimits(
     aState, aState.mFleet.mPeers[host].mLast.limits, aState.mDomain, aNow);
   ApplyPeerEvidence(aState, evidence.get(), host, aNow);
+  ApplyPeerEvacuations(aState, evacuations.get(), host);
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
   for (const auto& use : report.teams) {
@@ -591,6 +695,7 @@
     return;
   }
   const auto evidence = std::move(aSummary.evidence);
+  const auto evacuations = std::move(aSummary.evacuations);
   const auto result =
     ApplySummary(aState.mFleet, std::move(aSummary), aState.mDomain, aNow);
   if (result == SummaryResult::Ignored) {
@@ -599,6 +704,7 @@
   const auto& summary = aState.mFleet.mDomains[name].mLast;
   ApplyLimits(aState, summary.limits, name, aNow);
   ApplyPeerEvidence(aState, evidence.get(), summary.host, aNow);
+  ApplyPeerEvacuations(aState, evacuations.get(), summary.host);
   const auto newSender = result == SummaryResult::NewSender;
   if (newSender) {
     RepeatEvidence(aState.mSuspectExchange, aNow);
@@ -669,6 +775,7 @@
   report.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   report.limits = LimitsForReport(aState, aNow);
+  report.evacuations = ToWire(aState.mEvacuations);
   return report;
 }
 
@@ -680,6 +787,7 @@
   summary.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   summary.limits = LimitsForSummary(aState, aNow);
+  summary.evacuations = ToWire(aState.mEvacuations);
   for (const auto& [hash, rate] : aState.mRateOfHash) {
     if (rate->mRate > 0 &&
         rate->mDomainChangedAt > aNow - kAdmissionReportDuration) {
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -24,6 +24,7 @@
 #include "mangovalve/routing/slot_share.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/endpoint_directory.h"
+#include "mangovalve/serving/evacuation.h"
 #include "mangovalve/serving/fleet_load.h"
 #include "mangovalve/serving/protocol.h"
 #include "mangovalve/serving/suspect_exchange.h"
@@ -66,6 +67,7 @@
   double mUnaccountedLoad = 0;
   TimePoint mUnaccountedLoadAt{};
   bool mRemoved = false;
+  bool mEvacuated = false; // its failure domain is in mEvacuations
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
@@ -95,8 +97,8 @@
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
-  ArrivalRate mArrivals;                    // of online requests at this host
-  DemandCycle mDemand;                      // of all hosts
+  ArrivalRate mArrivals; // of online requests at this host
+  DemandCycle mDemand;   // of all hosts
   // By failure domain; none for domains of which nothing is reported.
   std::map<std::string, SlotShare> mShares;
 };
@@ -118,6 +120,9 @@
   TimePoint mStartedAt = Clock::now();
   // Null until the first document is active.
   std::shared_ptr<const ServingDocument> mDocument;
+  EvacuationSet mEvacuations;
+  // Evacuated domains that have been checked for having endpoints or hosts.
+  std::set<std::string> mCheckedEvacuations;
   EndpointDirectory mDirectory;
   std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
   FleetLoad mFleet;
@@ -176,6 +181,19 @@
 // while the directory is unchanged.
 auto SyncPools(ServingState& aState, TimePoint aNow) -> void;
 
+// Puts a set of evacuated domains in force if it is newer than the current one.
+// Requests that wait for an endpoint which is evacuated by it are woken.
+auto ApplyEvacuations(ServingState& aState,
+                      EvacuationSet aSet,
+                      std::string_view aSource) -> void;
+
+// Logs a warning for each evacuated domain that has neither endpoints nor
+// hosts, once after the order. Call it when the endpoints are known.
+auto CheckEvacuations(ServingState& aState) -> void;
+
+// Whether the pool has endpoints and all of them are evacuated.
+auto AllEvacuated(const ServicePool& aPool) -> bool;
+
 // Placement candidates for the pool's endpoints, in the same order. Usable are
 // those whose limits allow aUse now.
 auto Candidates(const ServingState& aState,
--- a/mangovalve/serving/table_follower.cc
+++ b/mangovalve/serving/table_follower.cc
@@ -98,7 +98,7 @@
     }
     mFrom = mLoading.mFrom;
     const auto loaded = std::exchange(mLoading, {});
-    mSinks.mReplace(loaded.mRecords);
+    mSinks.mReplace(loaded.mRecords, mFrom.value_or(0));
     co_return true;
   }
 
--- a/mangovalve/serving/table_follower.h
+++ b/mangovalve/serving/table_follower.h
@@ -24,9 +24,11 @@
 
 struct FollowSinks
 {
-  // Receives the whole table; missing keys have been deleted.
-  std::function<void(const std::vector<KeyedRecord>&)> mReplace;
-  // Receives one change; changes arrive in order.
+  // Receives the whole table; missing keys have been deleted. All changes below
+  // aAsOf are included, and later ones may be.
+  std::function<void(const std::vector<KeyedRecord>&, Offset aAsOf)> mReplace;
+  // Receives one change; changes arrive in order. The table is then known as of
+  // the offset after that of the record.
   std::function<void(const KeyedRecord&)> mApply;
   // Called after each read; tells whether the store answered.
   std::function<void(bool aAnswered)> mContact;
--- a/mangovalve/serving/table_follower_test.cc
+++ b/mangovalve/serving/table_follower_test.cc
@@ -49,14 +49,16 @@
   };
   std::size_t records = 0;
   std::size_t paged = 0;
+  Offset knownAsOf = 0;
   auto replaced = 0;
   const FollowPolicy policy{ milliseconds(1), false, milliseconds(100) };
   Spawn(loop,
         FollowTable(ports,
                     Table::Endpoints,
                     policy,
-                    { [&](const auto& aRecords) {
+                    { [&](const auto& aRecords, Offset aAsOf) {
                        records = aRecords.size();
+                       knownAsOf = aAsOf;
                        ++replaced;
                      },
                       [](const auto&) {},
@@ -76,6 +78,7 @@
   // Changes since the first page are applied again.
   REQUIRE(changesFrom);
   CHECK(*changesFrom == kFirstEnd);
+  CHECK(knownAsOf == kFirstEnd);
 }
 
 // Guards against a host that starts behind a network partition and notices its
@@ -99,10 +102,11 @@
     };
     const FollowPolicy policy{ milliseconds(1), false, milliseconds(100) };
     Spawn(loop,
-          FollowTable(ports,
-                      Table::Endpoints,
-                      policy,
-                      { [](const auto&) {}, [](const auto&) {}, [](bool) {} }));
+          FollowTable(
+            ports,
+            Table::Endpoints,
+            policy,
+            { [](const auto&, Offset) {}, [](const auto&) {}, [](bool) {} }));
     loop.run_for(std::chrono::seconds(20));
     REQUIRE(timeouts.size() == 4);
     if (kind == TableErrorKind::NotApplied) {
