Limit the requests to cold endpoints, over all hosts together

Cause: an endpoint that has just started crashes if it gets far more than 1.5 * warmupPerS + 5 requests in a second. The limits of endpoints allow 22.7 for a rate of 6.9, and nothing told the hosts that an endpoint was cold.

Change: EndpointLimit has the warm-up rate of the service while the endpoint is cold, and allows the lower of this and the stated limit. For a cold endpoint, few senders without a saved burst are chosen (2 for 6.9), which together use half of the bound, so that two views of the fleet stay under it. A host that hears less than half of the hosts is no sender. A request that is not sent within 250 ms of its choice, or was chosen before the endpoint turned cold, is not sent there. An endpoint is cold by its registration, by Cold-Ms in a response, or for warmupS after a sign of a restart; load reports and summaries carry it. Services without warmupPerS are not affected.

The complete test program has not been run.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -383,6 +383,7 @@
   }
   aRun->mStop = nullptr;
   if (aRun->mLostAt) {
+    MarkCold(mState, *aRun->mEndpoint, "connection_lost", *aRun->mLostAt);
     co_await ExamineLoss(aRun);
   }
   mRunning.remove(aRun);
@@ -492,6 +493,9 @@
                                   item.mSubmitted.id);
   if (!connection) {
     RecordExchange(mState, endpoint, ExchangeResult::Refused);
+    if (connection.error() == asio::error::connection_refused) {
+      MarkCold(mState, endpoint, "connection_refused", Clock::now());
+    }
     co_return RunOutcome::Interrupted;
   }
   if (aRun->mStopped || aRun->mItem.mJob->mEnded) {
@@ -501,8 +505,11 @@
   if (quarantined) {
     item.mNotBefore = Clock::now() + mPolicy.mQuarantineCheckInterval;
   }
-  // The order may have arrived while the connection was opened.
-  if (quarantined || endpoint.mEvacuated) {
+  // The endpoint may have been evacuated or turned cold while the connection
+  // was opened.
+  if (quarantined || endpoint.mEvacuated ||
+      !MayStillSend(
+        endpoint.mStatements->mLimit, aRun->mStartedAt, Clock::now())) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -415,6 +415,7 @@
     mContext.mFirstSlotAt = mContext.mFirstSlotAt.value_or(Clock::now());
     auto step = co_await Attempt(slot.mEndpoint);
     if (step == StepResult::Failed && mContext.mLostAt) {
+      MarkCold(mState, *slot.mEndpoint, "connection_lost", Clock::now());
       step = co_await ExamineLoss(slot.mEndpoint);
     }
     if (step == StepResult::Done && mContext.mCaller->Disconnected()) {
@@ -516,19 +517,25 @@
                { "endpoint", aEndpoint->mRegistration.mId },
                { "reason", connection.error().message() } });
     RecordExchange(mState, *aEndpoint, ExchangeResult::Refused);
+    if (connection.error() == asio::error::connection_refused) {
+      MarkCold(mState, *aEndpoint, "connection_refused", Clock::now());
+    }
     co_return StepResult::NotRun;
   }
-  // The order may have arrived while the connection was opened.
-  const auto evacuated = aEndpoint->mEvacuated;
-  if (evacuated || (QuarantinedUntil() &&
-                    !TakeTrial(mState, mContext.mParts, Clock::now()))) {
+  // The endpoint may have been evacuated or turned cold while the connection
+  // was opened.
+  const auto barred =
+    aEndpoint->mEvacuated ||
+    !MayStillSend(aEndpoint->mStatements->mLimit, now, Clock::now());
+  if (barred || (QuarantinedUntil() &&
+                 !TakeTrial(mState, mContext.mParts, Clock::now()))) {
     // A connection that was idle before stays in use.
     const auto usableUntil = (*connection)->mUsableUntil;
     mState.mPool.Release(std::move(*connection),
                          usableUntil,
                          IdleConnectionLimit(mState, *aEndpoint));
-    mContext.mRefusals += evacuated ? 1 : 0;
-    co_return evacuated ? StepResult::NotRun : StepResult::NoRetry;
+    mContext.mRefusals += barred ? 1 : 0;
+    co_return barred ? StepResult::NotRun : StepResult::NoRetry;
   }
   auto& stream = (*connection)->mStream;
   mContext.mCaller->mInterrupt = [&stream] { stream.close(); };
--- a/mangovalve/routing/endpoint_limit.cc
+++ b/mangovalve/routing/endpoint_limit.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "mangovalve/membership/rendezvous.h"
+#include "mangovalve/routing/warmup.h"
 
 namespace mangovalve {
 namespace {
@@ -16,6 +17,11 @@
     std::chrono::duration<double>(aRequests / aPart));
 }
 
+auto SavedRequests(const EndpointLimit& aLimit) -> int
+{
+  return aLimit.mWarmupRate ? 1 : kSavedRequests;
+}
+
 } // namespace
 
 auto ApplyStatement(EndpointLimit& aLimit,
@@ -30,15 +36,37 @@
   if (changed) {
     aLimit.mChangedAt = aNow;
   }
-  if (!aStatement.mRate) {
+  if (!IsLimited(aLimit)) {
     SetPart(aLimit, 0, aNow);
   }
   return changed;
 }
 
+auto SetWarmupRate(EndpointLimit& aLimit,
+                   std::optional<double> aRate,
+                   TimePoint aNow) -> void
+{
+  if (aRate && !aLimit.mWarmupRate) {
+    aLimit.mColdSince = aNow;
+    SetPart(aLimit, 0, aNow);
+  }
+  aLimit.mWarmupRate = aRate;
+  if (!IsLimited(aLimit)) {
+    SetPart(aLimit, 0, aNow);
+  }
+}
+
+auto AllowedRate(const EndpointLimit& aLimit) -> std::optional<double>
+{
+  const auto& stated = aLimit.mLatest.mRate;
+  const auto& warmup = aLimit.mWarmupRate;
+  return stated && warmup ? std::min(*stated, *warmup)
+                          : (stated ? stated : warmup);
+}
+
 auto IsLimited(const EndpointLimit& aLimit) -> bool
 {
-  return aLimit.mLatest.mRate.has_value();
+  return AllowedRate(aLimit).has_value();
 }
 
 auto SenderCount(double aRate, std::size_t aHosts) -> std::size_t
@@ -48,12 +76,9 @@
     std::clamp(1 + std::floor(aRate), 1.0, hosts));
 }
 
-auto PartOfLimit(std::string_view aEndpoint,
-                 double aRate,
-                 const SenderView& aView) -> double
+auto RankAmongSenders(std::string_view aEndpoint, const SenderView& aView)
+  -> std::size_t
 {
-  const auto rate = std::max(aRate, kMinEndpointRate);
-  const auto senders = SenderCount(rate, aView.mRegistered);
   const auto self = RendezvousScore(aEndpoint, aView.mSelf);
   const auto before =
     std::count_if(aView.mResponsive.begin(),
@@ -62,7 +87,16 @@
                     const auto score = RendezvousScore(aEndpoint, aHost);
                     return score != self ? score > self : aHost < aView.mSelf;
                   });
-  return static_cast<std::size_t>(before) < senders
+  return static_cast<std::size_t>(before);
+}
+
+auto PartOfLimit(std::string_view aEndpoint,
+                 double aRate,
+                 const SenderView& aView) -> double
+{
+  const auto rate = std::max(aRate, kMinEndpointRate);
+  const auto senders = SenderCount(rate, aView.mRegistered);
+  return RankAmongSenders(aEndpoint, aView) < senders
            ? rate / static_cast<double>(senders)
            : 0;
 }
@@ -98,19 +132,27 @@
     case LimitedUse::Needed:
       return true;
     case LimitedUse::Surplus:
-      return available >= TimeFor(kSavedRequests - 1, aLimit.mPart);
+      return available >= TimeFor(SavedRequests(aLimit) - 1, aLimit.mPart);
     case LimitedUse::Spare:
-      return available >= TimeFor(kSavedRequests, aLimit.mPart);
+      return available >= TimeFor(SavedRequests(aLimit), aLimit.mPart);
   }
   return false;
 }
 
+auto MayStillSend(const EndpointLimit& aLimit,
+                  TimePoint aChosenAt,
+                  TimePoint aNow) -> bool
+{
+  return !aLimit.mWarmupRate ||
+         (aChosenAt >= aLimit.mColdSince && aNow <= aChosenAt + kMaxSendDelay);
+}
+
 auto RecordSent(EndpointLimit& aLimit, TimePoint aNow) -> void
 {
   if (!IsLimited(aLimit) || aLimit.mPart <= 0) {
     return;
   }
-  const auto earliest = aNow - TimeFor(kSavedRequests - 1, aLimit.mPart);
+  const auto earliest = aNow - TimeFor(SavedRequests(aLimit) - 1, aLimit.mPart);
   aLimit.mNextAt =
     std::max(earliest, aLimit.mNextAt) + TimeFor(1, aLimit.mPart);
 }
--- a/mangovalve/routing/endpoint_limit.h
+++ b/mangovalve/routing/endpoint_limit.h
@@ -15,6 +15,10 @@
 // rate and kSavedRequests. A host that has not heard of a limit learns of it
 // from its first response.
 //
+// A cold endpoint is limited too, by its service's warm-up rate, for which
+// stricter rules apply (warmup.h). EndpointLimit decides the rate for both: it
+// is the lower of the two.
+//
 // The functions are pure; the current time is a parameter.
 #pragma once
 
@@ -32,7 +36,8 @@
 // second. Without any response the end of the limit would go unnoticed.
 constexpr double kMinEndpointRate = 0.2;
 
-// Requests that a sender has not used and may send at once later.
+// Requests that a sender has not used and may send at once later; one if the
+// endpoint is cold.
 constexpr int kSavedRequests = 2;
 
 // What an endpoint stated in a response.
@@ -46,6 +51,8 @@
 {
   LimitStatement mLatest;
   TimePoint mChangedAt{}; // when the rate of mLatest last changed here
+  std::optional<double> mWarmupRate; // of the service, while it is cold
+  TimePoint mColdSince{};            // when mWarmupRate was set
   // This host's part of the rate, in requests per second; 0 if it is not a
   // sender or there is no limit.
   double mPart = 0;
@@ -68,6 +75,17 @@
                     LimitStatement aStatement,
                     TimePoint aNow) -> bool;
 
+// Sets or ends the limit of a cold endpoint. Requests that were saved before
+// are lost. The caller then sets this host's part.
+auto SetWarmupRate(EndpointLimit& aLimit,
+                   std::optional<double> aRate,
+                   TimePoint aNow) -> void;
+
+// Requests per second that all hosts together may send: the lower of the stated
+// limit and the warm-up rate. Empty: no limit.
+auto AllowedRate(const EndpointLimit& aLimit) -> std::optional<double>;
+
+// Whether there is any limit, stated or of a cold endpoint.
 auto IsLimited(const EndpointLimit& aLimit) -> bool;
 
 // Number of senders of an endpoint with this limit among aHosts hosts.
@@ -82,6 +100,10 @@
   std::size_t mRegistered = 0; // these and the unresponsive ones
 };
 
+// Number of responsive hosts that precede mSelf in the choice of the senders.
+auto RankAmongSenders(std::string_view aEndpoint, const SenderView& aView)
+  -> std::size_t;
+
 // The part of the limit of an endpoint that mSelf may use, in requests per
 // second; 0 if it is not a sender. Hosts with equal views use the whole limit
 // together. Unresponsive hosts may be senders on their side of a partition, so
@@ -98,6 +120,13 @@
 auto MaySend(const EndpointLimit& aLimit, LimitedUse aUse, TimePoint aNow)
   -> bool;
 
+// Whether a request for which the endpoint was chosen at aChosenAt may be sent
+// now. False if the endpoint has turned cold since, or if it is cold and the
+// request is late.
+auto MayStillSend(const EndpointLimit& aLimit,
+                  TimePoint aChosenAt,
+                  TimePoint aNow) -> bool;
+
 // Records a request that is sent.
 auto RecordSent(EndpointLimit& aLimit, TimePoint aNow) -> void;
 
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include "mangovalve/batch/flatbuffers_table.h"
+#include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/serving/quarantine_store.h"
 #include "mangovalve/serving/shutdown.h"
 #include "mangovalve/serving/table_follower.h"
@@ -145,7 +146,8 @@
   ports.mSummaryTargets = [this] { return SummaryTargets(); };
   ports.mUrgent = [this] {
     return AnyTeamNearRateLimit(mState) ||
-           AnyNewCrash(mState.mSuspectExchange, Clock::now());
+           AnyNewCrash(mState.mSuspectExchange, Clock::now()) ||
+           AnyNewCold(mState, Clock::now());
   };
   ports.mOnReport = [this](wire::LoadReportT aReport) {
     if (aReport.host != mState.mHost) {
@@ -396,6 +398,7 @@
   if (known != mEndpointBytes.end() &&
       mReaders.mSameRegistration(known->second, aRecord.mValue)) {
     Renew(mState.mDirectory, aRecord.mKey);
+    RecordRenewal(mState, aRecord.mKey, Clock::now());
     return;
   }
   auto registration = mReaders.mReadRegistration(aRecord.mKey, aRecord.mValue);
--- a/mangovalve/serving/endpoint_directory.cc
+++ b/mangovalve/serving/endpoint_directory.cc
@@ -60,6 +60,7 @@
                 std::vector<Registration> aRegistrations,
                 TimePoint aNow) -> void
 {
+  aDirectory.mLoaded = true;
   std::set<std::string> present;
   for (auto& registration : aRegistrations) {
     present.insert(registration.mId);
--- a/mangovalve/serving/endpoint_directory.h
+++ b/mangovalve/serving/endpoint_directory.h
@@ -42,6 +42,7 @@
 struct EndpointDirectory
 {
   std::map<std::string, DirectoryEntry> mEntries; // by id
+  bool mLoaded = false; // the whole table has been read, or copied
   bool mStoreReachable = true;
   TimePoint mStoreRecoveredAt{}; // end of the last outage of the store
   // Increases whenever a registration is added, changed or removed.
--- a/mangovalve/serving/endpoint_statements.cc
+++ b/mangovalve/serving/endpoint_statements.cc
@@ -35,6 +35,20 @@
 // domain yet, so it can't tell who the senders are.
 constexpr auto kSettlingTime = milliseconds(1500);
 
+// A registration may have been written this long before it is read: endpoints
+// write about once a second, and hosts read twice a second. What it says about
+// a warm endpoint does not refute a sign of a restart that is newer.
+constexpr auto kRegistrationAge = milliseconds(1500);
+
+// Longest cold time that another host may state.
+constexpr auto kMaxCold = std::chrono::minutes(10);
+
+// Ends of a cold time that differ by less are logged as one.
+constexpr auto kColdTolerance = milliseconds(500);
+
+// An endpoint that turned cold less than this time ago makes reports urgent.
+constexpr auto kNewCold = milliseconds(600);
+
 // Rate of an EndpointLimit without a limit.
 constexpr double kNoLimit = -1;
 
@@ -63,8 +77,8 @@
 auto IsReported(const EndpointStatements& aStatements, TimePoint aNow) -> bool
 {
   const auto& limit = aStatements.mLimit;
-  return IsLimited(limit) || (limit.mChangedAt != TimePoint{} &&
-                              aNow < limit.mChangedAt + kEndReportDuration);
+  return limit.mLatest.mRate || (limit.mChangedAt != TimePoint{} &&
+                                 aNow < limit.mChangedAt + kEndReportDuration);
 }
 
 template<typename Predicate>
@@ -94,6 +108,95 @@
   return limits;
 }
 
+// The service of the endpoint if it limits the requests to cold endpoints;
+// otherwise null.
+auto WarmupOf(const ServingState& aState, const Endpoint& aEndpoint)
+  -> const ServingService*
+{
+  if (!aState.mDocument) {
+    return nullptr;
+  }
+  const auto& services = aState.mDocument->mServices;
+  const auto found = services.find(aEndpoint.mRegistration.mService);
+  return found != services.end() && found->second.mWarmupRate > 0
+           ? &found->second
+           : nullptr;
+}
+
+// Whether the statement says something else than the latest one.
+auto ApplyCold(EndpointStatements& aStatements,
+               ColdStatement aStatement,
+               StatementSource aSource,
+               std::string_view aOrigin,
+               TimePoint aNow) -> bool
+{
+  if (aStatement.mAt <= aStatements.mCold.mAt) {
+    return false;
+  }
+  aStatements.mColdSource = aSource;
+  if (!ApplyColdStatement(aStatements.mCold, aStatement, kColdTolerance)) {
+    return false;
+  }
+  aStatements.mColdChangedAt = aNow;
+  const auto left = std::chrono::duration_cast<milliseconds>(
+    std::max<Duration>(aStatement.mUntil - aNow, {}));
+  LogEvent(Severity::Info,
+           "endpoint_cold",
+           { { "endpoint", aStatements.mId },
+             { "left_ms", absl::StrCat(left.count()) },
+             { "source", std::string(aOrigin) } });
+  return true;
+}
+
+// Puts the warm-up limit of the endpoint in force, or ends it.
+auto UpdateWarmup(ServingState& aState, Endpoint& aEndpoint, TimePoint aNow)
+  -> void
+{
+  auto& statements = *aEndpoint.mStatements;
+  const auto* service =
+    IsCold(statements.mCold, aNow) ? WarmupOf(aState, aEndpoint) : nullptr;
+  const auto rate =
+    service != nullptr ? std::optional(service->mWarmupRate) : std::nullopt;
+  if (rate == statements.mLimit.mWarmupRate) {
+    return;
+  }
+  const auto change = rate ? "cold" : "warm";
+  FindCounter("mangovalve_endpoint_warmups_total", { { "change", change } })
+    .Add();
+  LogEvent(Severity::Info,
+           "endpoint_warmup",
+           { { "endpoint", statements.mId },
+             { "change", change },
+             { "requests_per_s", RateText(rate) } });
+  SetWarmupRate(statements.mLimit, rate, aNow);
+}
+
+template<typename Predicate>
+auto ColdToSend(const ServingState& aState,
+                TimePoint aNow,
+                const Predicate& aIncluded) -> std::vector<wire::ColdEndpoint>
+{
+  std::vector<wire::ColdEndpoint> cold;
+  for (const auto& [key, statements] : aState.mStatements) {
+    const auto& latest = statements->mCold;
+    const auto recent = statements->mColdChangedAt != TimePoint{} &&
+                        aNow < statements->mColdChangedAt + kEndReportDuration;
+    const auto age = std::chrono::duration_cast<milliseconds>(
+      std::max<Duration>(aNow - latest.mAt, {}));
+    if (cold.size() >= kMaxLimitsSent || age > kStatementRetention ||
+        !aIncluded(statements->mColdSource) ||
+        (!IsCold(latest, aNow) && !recent)) {
+      continue;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(
+      std::max<Duration>(latest.mUntil - aNow, {}));
+    cold.emplace_back(key,
+                      static_cast<std::uint32_t>(left.count()),
+                      static_cast<std::uint32_t>(age.count()));
+  }
+  return cold;
+}
+
 // The hosts of each failure domain, by what this host knows.
 struct DomainHosts
 {
@@ -163,7 +266,9 @@
     if (statements.use_count() > 1) {
       return false;
     }
-    const auto binding = statements->mLeaving || IsLimited(statements->mLimit);
+    const auto binding = statements->mLeaving ||
+                         IsLimited(statements->mLimit) ||
+                         IsCold(statements->mCold, aNow);
     const auto expired = statements->mRegisteredAt < aNow - kStatementRetention;
     return !binding || expired || ++former > kMaxFormerEndpoints;
   });
@@ -187,6 +292,13 @@
              "endpoint_leaving",
              { { "endpoint", statements.mId }, { "source", "response" } });
   }
+  if (aMetadata.mColdFor && ApplyCold(statements,
+                                      { aNow + *aMetadata.mColdFor, aNow },
+                                      StatementSource::ThisHost,
+                                      "response",
+                                      aNow)) {
+    UpdateLimitParts(aState, aNow);
+  }
   if (aMetadata.mLimitUnreadable) {
     LogEvent(Severity::Warn,
              "endpoint_limit_unreadable",
@@ -260,12 +372,132 @@
   }
 }
 
+auto RecordRegistration(ServingState& aState,
+                        const Endpoint& aEndpoint,
+                        bool aIsNew,
+                        TimePoint aNow) -> void
+{
+  const auto coldFor = aEndpoint.mRegistration.mColdFor;
+  if (coldFor.count() > 0) {
+    ApplyCold(*aEndpoint.mStatements,
+              { aNow + coldFor, aNow },
+              StatementSource::ThisHost,
+              "registration",
+              aNow);
+  } else if (aIsNew && aState.mKnowsEndpoints) {
+    MarkCold(aState, aEndpoint, "new", aNow);
+  } else if (aState.mDirectory.mStoreReachable &&
+             aNow >= aState.mDirectory.mStoreRecoveredAt + kRegistrationAge) {
+    // Records that are read after an outage may be much older.
+    const auto at = aNow - kRegistrationAge;
+    ApplyCold(*aEndpoint.mStatements,
+              { at, at },
+              StatementSource::ThisHost,
+              "registration",
+              aNow);
+  }
+}
+
+auto RecordRenewal(ServingState& aState, const std::string& aId, TimePoint aNow)
+  -> void
+{
+  const auto entry = aState.mDirectory.mEntries.find(aId);
+  if (entry == aState.mDirectory.mEntries.end()) {
+    return;
+  }
+  const auto& registration = entry->second.mRegistration;
+  const auto pool = aState.mPools.find(registration.mService);
+  if (pool == aState.mPools.end()) {
+    return;
+  }
+  const auto endpoint = pool->second.mById.find(aId);
+  if (endpoint != pool->second.mById.end() &&
+      endpoint->second->mRegistration == registration) {
+    RecordRegistration(aState, *endpoint->second, false, aNow);
+  }
+}
+
+auto MarkCold(ServingState& aState,
+              const Endpoint& aEndpoint,
+              std::string_view aSign,
+              TimePoint aNow) -> void
+{
+  const auto* service = WarmupOf(aState, aEndpoint);
+  if (service != nullptr) {
+    ApplyCold(*aEndpoint.mStatements,
+              { aNow + service->mWarmup, aNow },
+              StatementSource::ThisHost,
+              aSign,
+              aNow);
+    UpdateLimitParts(aState, aNow);
+  }
+}
+
+auto ColdForReport(const ServingState& aState, TimePoint aNow)
+  -> std::vector<wire::ColdEndpoint>
+{
+  return ColdToSend(aState, aNow, [](StatementSource aSource) {
+    return aSource == StatementSource::ThisHost;
+  });
+}
+
+auto ColdForSummary(const ServingState& aState, TimePoint aNow)
+  -> std::vector<wire::ColdEndpoint>
+{
+  return ColdToSend(aState, aNow, [](StatementSource aSource) {
+    return aSource != StatementSource::OtherDomain;
+  });
+}
+
+auto ApplyColdEndpoints(ServingState& aState,
+                        std::span<const wire::ColdEndpoint> aCold,
+                        const std::string& aDomain,
+                        TimePoint aNow) -> void
+{
+  auto changed = false;
+  for (const auto& copy : aCold) {
+    const auto found = aState.mStatements.find(copy.endpoint());
+    const milliseconds age(copy.age_ms());
+    const milliseconds left(copy.left_ms());
+    if (found == aState.mStatements.end() || age > kStatementRetention) {
+      continue;
+    }
+    const ColdStatement statement{ left.count() > 0
+                                     ? aNow +
+                                         std::min<milliseconds>(left, kMaxCold)
+                                     : aNow - age,
+                                   aNow - age };
+    const auto source = aDomain == aState.mDomain
+                          ? StatementSource::OwnDomain
+                          : StatementSource::OtherDomain;
+    changed =
+      ApplyCold(*found->second, statement, source, aDomain, aNow) || changed;
+  }
+  if (changed) {
+    UpdateLimitParts(aState, aNow);
+  }
+}
+
+auto AnyNewCold(const ServingState& aState, TimePoint aNow) -> bool
+{
+  return std::any_of(aState.mStatements.begin(),
+                     aState.mStatements.end(),
+                     [&](const auto& aEntry) {
+                       const auto& statements = *aEntry.second;
+                       return statements.mColdSource ==
+                                StatementSource::ThisHost &&
+                              IsCold(statements.mCold, aNow) &&
+                              aNow < statements.mColdChangedAt + kNewCold;
+                     });
+}
+
 auto UpdateLimitParts(ServingState& aState, TimePoint aNow) -> void
 {
   std::optional<std::map<std::string, DomainHosts>> domains;
   for (const auto& [service, pool] : aState.mPools) {
     for (const auto& endpoint : pool.mEndpoints) {
       auto& limit = endpoint->mStatements->mLimit;
+      UpdateWarmup(aState, *endpoint, aNow);
       if (!IsLimited(limit)) {
         continue;
       }
@@ -280,11 +512,16 @@
       const auto chosen = std::find(hosts.mResponsive.begin(),
                                     hosts.mResponsive.end(),
                                     aState.mHost) != hosts.mResponsive.end();
-      auto part =
-        settled && chosen
-          ? PartOfLimit(endpoint->mRegistration.mId, *limit.mLatest.mRate, view)
-          : 0;
-      if (part <= 0 && aNow > limit.mLatest.mAt + kUnconfirmedAfter) {
+      const auto& id = endpoint->mRegistration.mId;
+      const auto& stated = limit.mLatest.mRate;
+      const auto& warmup = limit.mWarmupRate;
+      double part = 0;
+      if (settled && chosen) {
+        part = warmup ? PartOfWarmup(id, *warmup, stated, view)
+                      : PartOfLimit(id, *stated, view);
+      }
+      if (part <= 0 && !warmup &&
+          aNow > limit.mLatest.mAt + kUnconfirmedAfter) {
         part = kMinEndpointRate /
                static_cast<double>(aState.mFleet.mPeers.size() + 1);
       }
@@ -304,7 +541,7 @@
       continue;
     }
     ++service.mEndpoints;
-    service.mRate += *limit.mLatest.mRate;
+    service.mRate += AllowedRate(limit).value_or(0);
     service.mPart += limit.mPart;
     service.mNextAt = std::min(service.mNextAt, limit.mNextAt);
   }
--- a/mangovalve/serving/endpoint_statements_test.cc
+++ b/mangovalve/serving/endpoint_statements_test.cc
@@ -370,5 +370,122 @@
   CHECK(SlowStartShare(health, host.mState.mHealth, start) == 1);
 }
 
+// A host whose document limits the requests to cold endpoints, and which has
+// read the whole table.
+struct WarmupHost : Host
+{
+  WarmupHost(const std::string& aAddress,
+             const std::string& aDomain,
+             TimePoint aNow)
+    : Host(aAddress, aDomain, aNow)
+  {
+    auto document = std::make_shared<ServingDocument>();
+    auto& service = document->mServices[kService];
+    service.mName = kService;
+    service.mWarmup = milliseconds(3500);
+    service.mWarmupRate = 6.9;
+    mState.mDocument = std::move(document);
+    Read(MakeRegistration(1), aNow);
+  }
+
+  auto Read(const Registration& aRegistration, TimePoint aNow) -> void
+  {
+    ReplaceAll(mState.mDirectory, { aRegistration }, aNow);
+    SyncPools(mState, aNow);
+    UpdateLimitParts(mState, aNow);
+  }
+};
+
+// Guards against endpoints that are throttled although nothing says that they
+// are cold, and against a new incarnation that is not.
+TEST_CASE("a new incarnation is cold, endpoints of the first table are warm")
+{
+  const auto start = Clock::now();
+  WarmupHost host("10.0.0.1:1", "a", start);
+  CHECK_FALSE(IsLimited(host.Limit()));
+  host.Read(MakeRegistration(2), start + seconds(5));
+  CHECK(host.Limit().mWarmupRate == 6.9);
+  CHECK_FALSE(host.IsUsable(LimitedUse::Needed, start + seconds(5)));
+  // It is warm when its time has passed.
+  UpdateLimitParts(host.mState, start + milliseconds(8600));
+  CHECK_FALSE(IsLimited(host.Limit()));
+  CHECK(host.IsUsable(LimitedUse::Spare, start + milliseconds(8600)));
+  // Without a warm-up rate nothing changes.
+  Host other("10.0.0.2:1", "a", start);
+  ReplaceAll(other.mState.mDirectory, { MakeRegistration(2) }, start);
+  SyncPools(other.mState, start);
+  ReplaceAll(other.mState.mDirectory, { MakeRegistration(3) }, start);
+  SyncPools(other.mState, start);
+  MarkCold(other.mState, *other.Endpoint(), "connection_lost", start);
+  CHECK_FALSE(IsLimited(other.Limit()));
+}
+
+// Guards against an old record that makes a crashed endpoint warm, and against
+// an endpoint that stays cold although its renewed registration says otherwise.
+TEST_CASE("a sign of a restart holds until the registration is renewed later")
+{
+  const auto start = Clock::now();
+  WarmupHost host("10.0.0.1:1", "a", start);
+  auto now = start + seconds(5);
+  MarkCold(host.mState, *host.Endpoint(), "connection_lost", now);
+  CHECK(IsLimited(host.Limit()));
+  RecordRenewal(host.mState, "e", now + seconds(1));
+  UpdateLimitParts(host.mState, now + seconds(1));
+  CHECK(IsLimited(host.Limit()));
+  RecordRenewal(host.mState, "e", now + seconds(2));
+  UpdateLimitParts(host.mState, now + seconds(2));
+  CHECK_FALSE(IsLimited(host.Limit()));
+
+  // Records that are read after an outage may be older.
+  now = start + seconds(20);
+  MarkCold(host.mState, *host.Endpoint(), "connection_lost", now);
+  RecordStoreContact(host.mState.mDirectory, false, now);
+  RecordRenewal(host.mState, "e", now + seconds(2));
+  UpdateLimitParts(host.mState, now + seconds(2));
+  CHECK(IsLimited(host.Limit()));
+
+  // What the registration states counts from when it was read.
+  RecordStoreContact(host.mState.mDirectory, true, now + seconds(3));
+  auto cold = MakeRegistration(1);
+  cold.mColdFor = milliseconds(1200);
+  now = start + seconds(30);
+  host.Read(cold, now);
+  CHECK(IsLimited(host.Limit()));
+  UpdateLimitParts(host.mState, now + milliseconds(1300));
+  CHECK_FALSE(IsLimited(host.Limit()));
+}
+
+// Guards against hosts that fill a cold endpoint because only another host has
+// noticed, and against a cold time that circulates between domains.
+TEST_CASE("reports and summaries carry the cold time, and its end")
+{
+  const auto start = Clock::now();
+  WarmupHost first("10.0.0.1:1", "a", start);
+  WarmupHost second("10.0.0.2:1", "a", start);
+  WarmupHost other("10.0.1.1:1", "b", start);
+  const auto exchange = [&](TimePoint aNow) {
+    ApplyPeerReport(second.mState, first.Report(aNow), 9, aNow);
+    ApplyPeerSummary(other.mState, first.Summary(aNow), aNow);
+  };
+  const auto now = start + seconds(5);
+  MarkCold(first.mState, *first.Endpoint(), "connection_refused", now);
+  CHECK(AnyNewCold(first.mState, now));
+  exchange(now + milliseconds(100));
+  CHECK(IsLimited(second.Limit()));
+  CHECK(IsLimited(other.Limit()));
+  CHECK_FALSE(AnyNewCold(second.mState, now + milliseconds(100)));
+  CHECK(second.Report(now + milliseconds(100)).cold.empty());
+  CHECK(other.Summary(now + milliseconds(100)).cold.empty());
+
+  ResponseMetadata warm;
+  warm.mId = "request";
+  warm.mColdFor = milliseconds(0);
+  RecordStatements(first.mState, *first.Endpoint(), warm, now + seconds(1));
+  CHECK_FALSE(IsLimited(first.Limit()));
+  exchange(now + milliseconds(1100));
+  CHECK_FALSE(IsLimited(second.Limit()));
+  CHECK_FALSE(IsLimited(other.Limit()));
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -112,6 +112,9 @@
 {
   auto& pool = aState.mPools[aRegistration.mService];
   auto& endpoint = pool.mById[aRegistration.mId];
+  const auto isNew =
+    !endpoint || endpoint->mRegistration.mStartedMs != aRegistration.mStartedMs;
+  const auto changed = isNew || endpoint->mRegistration != aRegistration;
   // Health and load of an earlier incarnation with the same id do not apply to
   // this one.
   if (endpoint &&
@@ -140,6 +143,9 @@
   endpoint->mOwnDomain = aRegistration.mDomain == aState.mDomain;
   endpoint->mEvacuated =
     aState.mEvacuations.mDomains.contains(aRegistration.mDomain);
+  if (changed) {
+    RecordRegistration(aState, *endpoint, isNew, aNow);
+  }
 }
 
 auto RemoveMissingEndpoints(ServingState& aState) -> void
@@ -340,7 +346,9 @@
     }
     ForgetStatements(aState, aNow);
     aState.mSyncedRevision = aState.mDirectory.mRevision;
+    UpdateLimitParts(aState, aNow);
   }
+  aState.mKnowsEndpoints = aState.mDirectory.mLoaded;
   for (auto& [service, pool] : aState.mPools) {
     std::vector<Health*> healths;
     for (const auto& endpoint : pool.mEndpoints) {
@@ -660,6 +668,8 @@
   }
   ApplyLimits(
     aState, aState.mFleet.mPeers[host].mLast.limits, aState.mDomain, aNow);
+  ApplyColdEndpoints(
+    aState, aState.mFleet.mPeers[host].mLast.cold, aState.mDomain, aNow);
   ApplyPeerEvidence(aState, evidence.get(), host, aNow);
   ApplyPeerEvacuations(aState, evacuations.get(), host);
   const auto& report = aState.mFleet.mPeers[host].mLast;
@@ -703,6 +713,7 @@
   }
   const auto& summary = aState.mFleet.mDomains[name].mLast;
   ApplyLimits(aState, summary.limits, name, aNow);
+  ApplyColdEndpoints(aState, summary.cold, name, aNow);
   ApplyPeerEvidence(aState, evidence.get(), summary.host, aNow);
   ApplyPeerEvacuations(aState, evacuations.get(), summary.host);
   const auto newSender = result == SummaryResult::NewSender;
@@ -775,6 +786,7 @@
   report.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   report.limits = LimitsForReport(aState, aNow);
+  report.cold = ColdForReport(aState, aNow);
   report.evacuations = ToWire(aState.mEvacuations);
   return report;
 }
@@ -787,6 +799,7 @@
   summary.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   summary.limits = LimitsForSummary(aState, aNow);
+  summary.cold = ColdForSummary(aState, aNow);
   summary.evacuations = ToWire(aState.mEvacuations);
   for (const auto& [hash, rate] : aState.mRateOfHash) {
     if (rate->mRate > 0 &&
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -22,6 +22,7 @@
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
 #include "mangovalve/routing/slot_share.h"
+#include "mangovalve/routing/warmup.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/endpoint_directory.h"
 #include "mangovalve/serving/evacuation.h"
@@ -45,8 +46,11 @@
   std::string mId; // of the endpoint, for the log
   EndpointLimit mLimit;
   StatementSource mSource = StatementSource::ThisHost; // of mLimit.mLatest
-  bool mLeaving = false;     // it gets no new requests until its end
-  TimePoint mRegisteredAt{}; // when its registration was last read
+  ColdStatement mCold;
+  StatementSource mColdSource = StatementSource::ThisHost;
+  TimePoint mColdChangedAt{}; // when mCold last changed here
+  bool mLeaving = false;      // it gets no new requests until its end
+  TimePoint mRegisteredAt{};  // when its registration was last read
 };
 
 using EndpointStatementsPtr = std::shared_ptr<EndpointStatements>;
@@ -125,6 +129,8 @@
   std::set<std::string> mCheckedEvacuations;
   EndpointDirectory mDirectory;
   std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
+  // mPools has the endpoints of a whole table, so that others are new.
+  bool mKnowsEndpoints = false;
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
   // By hash of an endpoint's id and start. Has the statements of all endpoints
