--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -23,8 +23,10 @@
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
 #include "mangovalve/routing/slot_share.h"
+#include "mangovalve/routing/warmup.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/endpoint_directory.h"
+#include "mangovalve/serving/evacuation.h"
 #include "mangovalve/serving/fleet_load.h"
 #include "mangovalve/serving/protocol.h"
 #include "mangovalve/serving/suspect_exchange.h"
@@ -45,8 +47,11 @@
   std::string mId; // of the endpoint, for the log
   EndpointLimit mLimit;
   StatementSource mSource = StatementSource::ThisHost; // of mLimit.mLatest
-  bool mLeaving = false;     // it gets no new requests until its end
-  TimePoint mRegisteredAt{}; // when its registration was last read
+  ColdStatement mCold;
+  StatementSource mColdSource = StatementSource::ThisHost;
+  TimePoint mColdChangedAt{}; // when mCold last changed here
+  bool mLeaving = false;      // it gets no new requests until its end
+  TimePoint mRegisteredAt{};  // when its registration was last read
 };
 
 using EndpointStatementsPtr = std::shared_ptr<EndpointStatements>;
@@ -67,6 +72,7 @@
   double mUnaccountedLoad = 0;
   TimePoint mUnaccountedLoadAt{};
   bool mRemoved = false;
+  bool mEvacuated = false; // its failure domain is in mEvacuations
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
@@ -129,8 +135,13 @@
   TimePoint mStartedAt = Clock::now();
   // Null until the first document is active.
   std::shared_ptr<const ServingDocument> mDocument;
+  EvacuationSet mEvacuations;
+  // Evacuated domains that have been checked for having endpoints or hosts.
+  std::set<std::string> mCheckedEvacuations;
   EndpointDirectory mDirectory;
   std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
+  // mPools has the endpoints of a whole table, so that others are new.
+  bool mKnowsEndpoints = false;
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
   // By hash of an endpoint's id and start. Has the statements of all endpoints
@@ -187,6 +198,19 @@
 // while the directory is unchanged.
 auto SyncPools(ServingState& aState, TimePoint aNow) -> void;
 
+// Puts a set of evacuated domains in force if it is newer than the current one.
+// Requests that wait for an endpoint which is evacuated by it are woken.
+auto ApplyEvacuations(ServingState& aState,
+                      EvacuationSet aSet,
+                      std::string_view aSource) -> void;
+
+// Logs a warning for each evacuated domain that has neither endpoints nor
+// hosts, once after the order. Call it when the endpoints are known.
+auto CheckEvacuations(ServingState& aState) -> void;
+
+// Whether the pool has endpoints and all of them are evacuated.
+auto AllEvacuated(const ServicePool& aPool) -> bool;
+
 // Placement candidates for the pool's endpoints, in the same order. Usable are
 // those whose limits allow aUse now.
 auto Candidates(const ServingState& aState,
