Admit by the chance of a slot; fair shares of teams; planned returns

One team's burst became the wait of all teams.

Change: a request waits while its chance of a slot before the objective less the time to its first event is good, on arrival and once more after 0.22 of the objective. A team that holds more than its share of a service, by the team_uses of all load reports, leaves free slots to waiting requests of other teams.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -81,9 +81,10 @@
   TimePoint mAttemptAt{};             // start of the current attempt
   std::uint64_t mEventsBefore = 0;    // mForwardedEvents at that time
   bool mAnswerBegun = false;          // by the endpoint, in this attempt
-  AttemptSilence mSilence;            // of this attempt
-  bool mFailing = false;              // recorded for the current silence
-  bool mForwarding = false;           // it is the caller that is awaited
+  TimePoint mAnswerBegunAt{};
+  AttemptSilence mSilence;  // of this attempt
+  bool mFailing = false;    // recorded for the current silence
+  bool mForwarding = false; // it is the caller that is awaited
   // When the endpoint ended the connection before it had begun to answer.
   std::optional<TimePoint> mLostAt;
   // For the log.
@@ -147,6 +148,9 @@
 private:
   // Deadline for the wait for an endpoint.
   auto WaitDeadline(TimePoint aNow) const -> TimePoint;
+  auto NewSlotRequest(TimePoint aNow) const -> SlotRequest;
+  // Attempt, counted for the shares of the teams.
+  auto CountedAttempt(EndpointPtr aEndpoint) -> Task<StepResult>;
   auto Attempt(EndpointPtr aEndpoint) -> Task<StepResult>;
   auto Send(Endpoint& aEndpoint, ClientConnection& aConnection)
     -> Task<StepResult>;
@@ -271,7 +275,13 @@
 auto RelayedRequest::NoteAnswerBegun() -> void
 {
   mContext.mAnswerBegun = true;
-  mContext.mFirstEventAt = mContext.mFirstEventAt.value_or(Clock::now());
+  mContext.mAnswerBegunAt = Clock::now();
+  mContext.mFirstEventAt =
+    mContext.mFirstEventAt.value_or(mContext.mAnswerBegunAt);
+  const std::chrono::duration<double> untilFirst =
+    mContext.mAnswerBegunAt - mContext.mAttemptAt;
+  RecordFirstEvent(mState.mPools[mContext.mService].mFirstEventSeconds,
+                   untilFirst.count());
   RecordStart(mState.mSuspects, mContext.mParts, Clock::now());
 }
 
@@ -386,17 +396,44 @@
   return std::min(Deadline(), sent ? std::max(first, later) : first);
 }
 
+auto RelayedRequest::NewSlotRequest(TimePoint aNow) const -> SlotRequest
+{
+  const auto& route = *mContext.mRoute;
+  const auto arrivedAt = mContext.mCaller->mArrivedAt;
+  SlotRequest request;
+  request.mCaller = mContext.mCaller;
+  request.mId = mContext.mMetadata.mId;
+  request.mService = mContext.mService;
+  request.mPriority = mContext.mPriority;
+  request.mTried = mContext.mTried;
+  request.mTypicalRunTime = route.mLatencyObjective;
+  request.mWaitDeadline = WaitDeadline(aNow);
+  request.mTeam = mContext.mTeam;
+  // A refusal after work was done would waste it.
+  if (!mContext.mHeadSent && mContext.mAttempts + mContext.mRefusals == 0) {
+    request.mFirstEventDue = arrivedAt + route.mLatencyObjective;
+    request.mReviewAt =
+      arrivedAt + Scaled(route.mLatencyObjective, mPolicy.mReviewShare);
+  }
+  if (mContext.mMetadata.mCallerTimeout) {
+    request.mReturnBy = mContext.mDeadline - route.mLatencyObjective;
+  }
+  return request;
+}
+
+auto RelayedRequest::CountedAttempt(EndpointPtr aEndpoint) -> Task<StepResult>
+{
+  const ScopedTeamRun run(
+    mState, mContext.mService, mContext.mPriority, StableHash(mContext.mTeam));
+  co_return co_await Attempt(std::move(aEndpoint));
+}
+
 auto RelayedRequest::Run() -> Task<>
 {
   for (;;) {
     // A named object, because g++ 12 destroys a braced argument of an awaited
     // call twice.
-    SlotRequest request{
-      mContext.mCaller,          mContext.mMetadata.mId,
-      mContext.mService,         mContext.mPriority,
-      mContext.mTried,           mContext.mRoute->mLatencyObjective,
-      WaitDeadline(Clock::now())
-    };
+    auto request = NewSlotRequest(Clock::now());
     auto slot = co_await AcquireSlot(mState, std::move(request));
     if (mContext.mCaller->Disconnected()) {
       co_await EndForGoneCaller();
@@ -413,7 +450,7 @@
     }
     mContext.mEndpoint = slot.mEndpoint->mRegistration.mId;
     mContext.mFirstSlotAt = mContext.mFirstSlotAt.value_or(Clock::now());
-    auto step = co_await Attempt(slot.mEndpoint);
+    auto step = co_await CountedAttempt(slot.mEndpoint);
     if (step == StepResult::Failed && mContext.mLostAt) {
       step = co_await ExamineLoss(slot.mEndpoint);
     }
@@ -541,6 +578,15 @@
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> elapsed = Clock::now() - startedAt;
       UpdateDecayedMean(pool.mMeanSeconds, elapsed.count());
+      // A stream waits for a slot of its endpoint before its first event.
+      const std::chrono::duration<double> untilFirst =
+        mContext.mAnswerBegunAt - startedAt;
+      const auto queued =
+        metadata.mIsEventStream && mContext.mAnswerBegun
+          ? std::max(0.0, untilFirst.count() - pool.mFirstEventSeconds)
+          : 0.0;
+      UpdateDecayedMean(pool.mHoldSeconds,
+                        std::max(0.0, elapsed.count() - queued));
     }
   }
   mContext.mCaller->mInterrupt = nullptr;
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -38,6 +38,10 @@
   // would wait longer is refused at once, so that the caller can still retry in
   // time.
   double mMaxWaitShare = 0.7;
+  // Share of the latency objective after which a wait is reviewed. Refusals
+  // after a quarter of the objective cost more; a host needs some time to send
+  // them.
+  double mReviewShare = 0.22;
   // Silence after which an endpoint counts as failing if another one has a
   // slot, before the first byte of an answer and between its parts, as
   // multiples of the latency and the gap objective but at least the minimum.
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -3,7 +3,7 @@
 // Engines admit requests in order of arrival and have no priorities, so
 // requests wait here instead, in order of priority. A request whose expected
 // wait exceeds its wait deadline is refused at once, while its caller still has
-// time to retry.
+// time to retry; routing/admission.h has the decisions.
 #pragma once
 
 #include <optional>
@@ -27,6 +27,13 @@
   // Assumed time for which a request holds a slot, until it has been measured.
   Duration mTypicalRunTime;
   TimePoint mWaitDeadline;
+  std::string mTeam;
+  // When the first event is due; no limit for a request that may have run.
+  TimePoint mFirstEventDue = TimePoint::max();
+  // When the wait is reviewed, shortly before a refusal costs more.
+  TimePoint mReviewAt = TimePoint::max();
+  // When a refused caller must return at the latest.
+  TimePoint mReturnBy = TimePoint::max();
 };
 
 struct Slot
@@ -44,13 +51,8 @@
                  const std::string& aService,
                  std::span<const std::string> aTried) -> bool;
 
-// Expected wait of a new request behind aAhead waiting requests, when each of
-// aSlots slots becomes free once per aMeanSeconds.
-auto ExpectedWait(std::size_t aAhead, double aSlots, double aMeanSeconds)
-  -> Duration;
-
-// The same when all endpoints have limits, behind aAhead waiting requests of
-// this host. aLimited must allow this host a part.
+// Expected wait of a new request when all endpoints have limits, behind aAhead
+// waiting requests of this host. aLimited must allow this host a part.
 auto ExpectedLimitedWait(std::size_t aAhead,
                          const LimitedService& aLimited,
                          TimePoint aNow) -> Duration;
--- a/mangovalve/online/slot_queue_test.cc
+++ b/mangovalve/online/slot_queue_test.cc
@@ -3,28 +3,21 @@
 
 #include <doctest/doctest.h>
 
+#include "mangovalve/base/id.h"
+
 namespace mangovalve {
 namespace {
 
 using std::chrono::milliseconds;
 
-TEST_CASE("the expected wait grows with requests ahead and shrinks with slots")
-{
-  CHECK(ExpectedWait(3, 0, 1) == Duration::zero());
-  CHECK(ExpectedWait(0, 4, 0) == Duration::zero());
-  CHECK(ExpectedWait(0, 8, 0.8) == milliseconds(100));
-  CHECK(ExpectedWait(7, 8, 0.8) == milliseconds(800));
-  for (std::size_t ahead = 0; ahead < 50; ++ahead) {
-    CHECK(ExpectedWait(ahead + 1, 8, 0.5) > ExpectedWait(ahead, 8, 0.5));
-    CHECK(ExpectedWait(ahead, 16, 0.5) < ExpectedWait(ahead, 8, 0.5));
-  }
-}
-
 // A pool of one engine with two slots, both held by online requests.
 struct FullPool
 {
   asio::io_context mLoop;
   ServingState mState{ mLoop };
+  // Of the requests.
+  std::string mTeam;
+  std::optional<milliseconds> mObjective;
 
   explicit FullPool(double aMeanSeconds)
   {
@@ -57,6 +50,12 @@
     request.mService = "llm";
     request.mWaitDeadline = Clock::now() + aPatience;
     request.mTypicalRunTime = aUsualRun;
+    request.mTeam = mTeam;
+    if (mObjective) {
+      const auto arrivedAt = request.mCaller->mArrivedAt;
+      request.mFirstEventDue = arrivedAt + *mObjective;
+      request.mReviewAt = arrivedAt + *mObjective * 22 / 100;
+    }
     Spawn(mLoop, [](FullPool& aPool, SlotRequest aAsk, Slot& aSlot) -> Task<> {
       aSlot = co_await AcquireSlot(aPool.mState, std::move(aAsk));
     }(*this, std::move(request), aInto));
@@ -129,6 +128,112 @@
   CHECK(pool.mState.mPools["llm"].mQueue.empty());
 }
 
+TEST_CASE("a wait without a chance ends before a quarter of the objective")
+{
+  // Four in ten refusals came only at the wait deadline of 0.7 of the
+  // objective. The times are long, so that a slow machine passes.
+  FullPool pool(5);
+  pool.mObjective = milliseconds(3000);
+  Slot slot;
+  const auto askedAt = Clock::now();
+  pool.Ask(milliseconds(2100), slot);
+  CHECK(pool.mState.mPools["llm"].mQueue.size() == 1);
+  pool.mLoop.restart();
+  while (slot.mRetryAfter == milliseconds(0) &&
+         Clock::now() < askedAt + milliseconds(2100)) {
+    pool.mLoop.run_for(milliseconds(10));
+    pool.mLoop.restart();
+  }
+  CHECK(Clock::now() < askedAt + milliseconds(1200));
+  CHECK_FALSE(slot.mEndpoint);
+  CHECK(slot.mRetryAfter >= milliseconds(400));
+}
+
+TEST_CASE("a request that can't have its first event in time is refused")
+{
+  FullPool pool(0.1);
+  pool.mObjective = milliseconds(300);
+  auto& service = pool.mState.mPools["llm"];
+  service.mFirstEventSeconds = 0.05;
+  CHECK(pool.Ask(milliseconds(210)).mRetryAfter == milliseconds(0)); // waits
+  pool.mLoop.run_for(milliseconds(400));
+  REQUIRE(service.mQueue.empty());
+  // 20 requests per second; the first event takes half of the objective.
+  service.mMeanSeconds = 0.5;
+  service.mFirstEventSeconds = 0.25;
+  CHECK(pool.Ask(milliseconds(210)).mRetryAfter >= milliseconds(400));
+  CHECK(service.mQueue.empty());
+}
+
+TEST_CASE("refused callers return one after the other")
+{
+  // They all returned after 400 to 530 ms, into the same burst.
+  FullPool pool(1);
+  auto last = pool.Ask(milliseconds(100)).mRetryAfter;
+  CHECK(last >= milliseconds(400));
+  for (auto i = 0; i < 4; ++i) {
+    const auto next = pool.Ask(milliseconds(100)).mRetryAfter;
+    CHECK(next > last + milliseconds(200));
+    CHECK(next <= milliseconds(4000));
+    last = next;
+  }
+}
+
+TEST_CASE("a team that holds more than its share leaves a free slot to others")
+{
+  // Load: one team sends 8 times its usual load; the requests of another one
+  // wait at another host.
+  FullPool pool(1);
+  auto& endpoint = *pool.mState.mPools["llm"].mEndpoints[0];
+  endpoint.mOwnDomain = true;
+  endpoint.mOwnInFlight.mOnline = 1;
+  wire::LoadReportT report;
+  report.host = "peer";
+  report.sequence = 1;
+  const auto key = TeamUseKey("llm", 0);
+  report.team_uses.emplace_back(key, StableHash("loud"), 40, 40);
+  report.team_uses.emplace_back(key, StableHash("calm"), 5, 5);
+  ApplyReport(pool.mState.mFleet, std::move(report), Clock::now());
+  pool.mTeam = "loud";
+  CHECK_FALSE(pool.Ask(milliseconds(100)).mEndpoint);
+  pool.mTeam = "calm";
+  CHECK(pool.Ask(milliseconds(100)).mEndpoint);
+  // Nobody waits any more, so the free slot is for anyone.
+  report = {};
+  report.host = "peer";
+  report.sequence = 2;
+  report.team_uses.emplace_back(key, StableHash("loud"), 0, 40);
+  report.team_uses.emplace_back(key, StableHash("calm"), 0, 10);
+  ApplyReport(pool.mState.mFleet, std::move(report), Clock::now());
+  pool.mState.mPools["llm"].mClasses[0].mSharesAsOf = {};
+  pool.mState.mPools["llm"].mShares.clear(); // the slot is free again
+  pool.mTeam = "loud";
+  CHECK(pool.Ask(milliseconds(100)).mEndpoint);
+}
+
+TEST_CASE("among equals, those that can still meet their objective are first")
+{
+  ServicePool pool;
+  const auto now = TimePoint(std::chrono::hours(1));
+  const auto add = [&](int aPriority,
+                       std::uint64_t aNumber,
+                       std::uint64_t aTeam,
+                       TimePoint aLatestStart) {
+    pool.mQueue.insert({ aPriority, aNumber, nullptr, aTeam, aLatestStart });
+  };
+  add(0, 1, 7, now - milliseconds(1));
+  add(0, 2, 8, now + milliseconds(1));
+  CHECK(FirstWaiter(pool, now).mArrivalNumber == 2);
+  add(0, 3, 9, now + milliseconds(1));
+  CHECK(FirstWaiter(pool, now).mArrivalNumber == 2);
+  pool.mClasses[0].mShares.mOver = { 8 };
+  CHECK(FirstWaiter(pool, now).mArrivalNumber == 3);
+  // A more urgent request comes first whatever its team holds.
+  add(-1, 4, 8, now - milliseconds(1));
+  pool.mClasses[-1].mShares.mOver = { 8 };
+  CHECK(FirstWaiter(pool, now).mArrivalNumber == 4);
+}
+
 // A pool of one engine with free slots and a limit on its rate.
 struct LimitedPool : FullPool
 {
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -3,7 +3,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
+#include <absl/strings/str_cat.h>
+
+#include "mangovalve/base/id.h"
 #include "mangovalve/membership/rendezvous.h"
 
 namespace mangovalve {
@@ -43,6 +47,18 @@
       aFleet.mWaiting.erase(queue.service());
     }
   }
+  for (const auto& use : aReport.team_uses) {
+    auto& teams = aFleet.mTeams[use.service()];
+    auto& sum = teams[use.team()];
+    apply(sum.mWaiting, use.waiting());
+    apply(sum.mRunning, use.running());
+    if (sum.mWaiting == 0 && sum.mRunning == 0) {
+      teams.erase(use.team());
+    }
+    if (teams.empty()) {
+      aFleet.mTeams.erase(use.service());
+    }
+  }
 }
 
 template<typename Report>
@@ -228,6 +244,9 @@
   for (const auto& [service, waiting] : sums.mWaiting) {
     summary.queues.emplace_back(service, waiting);
   }
+  for (const auto& [key, teams] : sums.mTeams) {
+    AddTeamUses(summary.team_uses, key, teams);
+  }
   return summary;
 }
 
@@ -288,6 +307,41 @@
   return found == aFleet.mWaiting.end() ? 0 : found->second;
 }
 
+auto TeamUseKey(const std::string& aService, int aPriority) -> std::uint64_t
+{
+  return StableHash(absl::StrCat(aService, "\n", aPriority));
+}
+
+auto PeerTeams(const FleetLoad& aFleet, std::uint64_t aUseKey)
+  -> const TeamLoads*
+{
+  const auto found = aFleet.mTeams.find(aUseKey);
+  return found == aFleet.mTeams.end() ? nullptr : &found->second;
+}
+
+auto AddTeamUses(std::vector<wire::TeamServiceUse>& aUses,
+                 std::uint64_t aUseKey,
+                 const TeamLoads& aTeams) -> void
+{
+  std::vector<std::pair<std::uint64_t, TeamLoad>> teams(aTeams.begin(),
+                                                        aTeams.end());
+  const auto kept = std::min(teams.size(), kMaxReportedTeams);
+  const auto size = [](const auto& aTeam) {
+    return std::uint64_t{ aTeam.second.mWaiting } + aTeam.second.mRunning;
+  };
+  std::partial_sort(teams.begin(),
+                    teams.begin() + static_cast<std::ptrdiff_t>(kept),
+                    teams.end(),
+                    [&](const auto& aLeft, const auto& aRight) {
+                      return std::pair(size(aLeft), aLeft.first) >
+                             std::pair(size(aRight), aRight.first);
+                    });
+  teams.resize(kept);
+  for (const auto& [team, load] : teams) {
+    aUses.emplace_back(aUseKey, team, load.mWaiting, load.mRunning);
+  }
+}
+
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double
 {
   auto sum = 0.0;
@@ -323,6 +377,15 @@
   return sum;
 }
 
+auto ResponsivePeersIn(const FleetLoad& aFleet, const std::string& aDomain)
+  -> std::size_t
+{
+  return static_cast<std::size_t>(std::count_if(
+    aFleet.mPeers.begin(), aFleet.mPeers.end(), [&](const auto& aEntry) {
+      return !aEntry.second.mUnresponsive && aEntry.second.mDomain == aDomain;
+    }));
+}
+
 auto ResponsivePeerCount(const FleetLoad& aFleet) -> std::size_t
 {
   return static_cast<std::size_t>(std::count_if(
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -33,6 +33,18 @@
   std::uint32_t mBatch = 0;
 };
 
+// Online requests of one team.
+struct TeamLoad
+{
+  std::uint32_t mWaiting = 0;
+  std::uint32_t mRunning = 0;
+};
+
+using TeamLoads = absl::flat_hash_map<std::uint64_t, TeamLoad>; // by team
+
+// Teams per service and priority in a report; the smallest are left out.
+constexpr std::size_t kMaxReportedTeams = 32;
+
 struct PeerState
 {
   std::string mDomain;
@@ -64,6 +76,8 @@
   // the service's name; no zero entries.
   absl::flat_hash_map<std::uint64_t, InFlight> mInFlight;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mWaiting;
+  // The same by TeamUseKey and team.
+  absl::flat_hash_map<std::uint64_t, TeamLoads> mTeams;
   // The claim with the highest generation that was reported for each partition;
   // kept after the owner has stopped claiming it.
   std::map<std::uint32_t, OwnerClaim> mLastOwners;
@@ -127,6 +141,18 @@
 auto PeerWaiting(const FleetLoad& aFleet, std::uint64_t aService)
   -> std::uint32_t;
 
+// Hash by which reports tell a service's requests of one priority.
+auto TeamUseKey(const std::string& aService, int aPriority) -> std::uint64_t;
+
+// Loads of the teams at the responsive peers; null if there are none.
+auto PeerTeams(const FleetLoad& aFleet, std::uint64_t aUseKey)
+  -> const TeamLoads*;
+
+// Adds the largest of the teams to a report.
+auto AddTeamUses(std::vector<wire::TeamServiceUse>& aUses,
+                 std::uint64_t aUseKey,
+                 const TeamLoads& aTeams) -> void;
+
 // Arrivals per second at the responsive peers.
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double;
 
@@ -137,6 +163,10 @@
 
 auto ResponsivePeerCount(const FleetLoad& aFleet) -> std::size_t;
 
+// The same in one failure domain.
+auto ResponsivePeersIn(const FleetLoad& aFleet, const std::string& aDomain)
+  -> std::size_t;
+
 // The last known owner of the partition, if it is responsive, even when it no
 // longer claims the partition.
 auto LastOwnerOf(const FleetLoad& aFleet, std::uint32_t aPartition)
--- a/mangovalve/serving/fleet_load_test.cc
+++ b/mangovalve/serving/fleet_load_test.cc
@@ -72,6 +72,46 @@
   }
 }
 
+TEST_CASE("the loads of teams are summed and leave with their host")
+{
+  // A sum that kept the requests of a silent host would let its teams yield
+  // for ever.
+  FleetLoad fleet;
+  const auto report = [](const std::string& aHost, std::uint32_t aWaiting) {
+    auto result = Report(aHost, 1, 1, 0, 0);
+    result.team_uses.emplace_back(5, 1, aWaiting, 3);
+    result.team_uses.emplace_back(6, 1, 1, 1);
+    return result;
+  };
+  CHECK(PeerTeams(fleet, 5) == nullptr);
+  ApplyReport(fleet, report("a", 2), kNow);
+  ApplyReport(fleet, report("b", 4), kNow);
+  REQUIRE(PeerTeams(fleet, 5) != nullptr);
+  CHECK(PeerTeams(fleet, 5)->at(1).mWaiting == 6);
+  CHECK(PeerTeams(fleet, 5)->at(1).mRunning == 6);
+  RemovePeer(fleet, "a");
+  CHECK(PeerTeams(fleet, 5)->at(1).mWaiting == 4);
+  MarkUnresponsive(fleet, kNow + seconds(1));
+  CHECK(PeerTeams(fleet, 5) == nullptr);
+  CHECK(fleet.mTeams.empty());
+}
+
+TEST_CASE("a report has only the largest teams of a service and priority")
+{
+  TeamLoads teams;
+  for (std::uint32_t team = 1; team <= 100; ++team) {
+    teams[team] = TeamLoad{ team, 0 };
+  }
+  std::vector<wire::TeamServiceUse> uses;
+  AddTeamUses(uses, 9, teams);
+  REQUIRE(uses.size() == kMaxReportedTeams);
+  for (const auto& use : uses) {
+    CHECK(use.service() == 9);
+    CHECK(use.team() > 100 - kMaxReportedTeams);
+  }
+  CHECK(TeamUseKey("llm", 0) != TeamUseKey("llm", 1));
+}
+
 TEST_CASE("the claim with the highest generation determines the owner")
 {
   // Guards against sending requests to a former owner that has not yet noticed
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -157,6 +157,13 @@
 // competes for slots of other domains.
 constexpr double kShortFraction = 0.1;
 
+// Age up to which the shares of teams are used; about the interval of the
+// peers' reports.
+constexpr auto kTeamShareInterval = std::chrono::milliseconds(50);
+
+// Largest teams whose shares are computed; the others are not held back.
+constexpr std::size_t kMaxSharingTeams = 64;
+
 struct DomainRoom
 {
   double mSlots = 0;
@@ -497,10 +504,139 @@
     aState.mFleet.mPeers.size() + 1);
 }
 
+ScopedTeamRun::ScopedTeamRun(ServingState& aState,
+                             std::string aService,
+                             int aPriority,
+                             std::uint64_t aTeam)
+  : mState(aState)
+  , mService(std::move(aService))
+  , mPriority(aPriority)
+  , mTeam(aTeam)
+{
+  ++mState.mPools[mService].mClasses[mPriority].mTeams[mTeam].mRunning;
+}
+
+ScopedTeamRun::~ScopedTeamRun()
+{
+  const auto pool = mState.mPools.find(mService);
+  if (pool != mState.mPools.end()) {
+    auto& priorityClass = pool->second.mClasses[mPriority];
+    auto& running = priorityClass.mTeams[mTeam].mRunning;
+    running -= std::min(running, 1U);
+    ForgetIdleTeam(priorityClass, mTeam);
+  }
+}
+
+auto ForgetIdleTeam(PriorityClass& aClass, std::uint64_t aTeam) -> void
+{
+  const auto team = aClass.mTeams.find(aTeam);
+  if (team != aClass.mTeams.end() && team->second.mRunning == 0 &&
+      team->second.mWaiting == 0) {
+    aClass.mTeams.erase(team);
+  }
+}
+
+auto SharesOf(const ServingState& aState,
+              const std::string& aService,
+              int aPriority,
+              PriorityClass& aClass,
+              TimePoint aNow) -> const TeamShares&
+{
+  if (aNow < aClass.mSharesAsOf + kTeamShareInterval) {
+    return aClass.mShares;
+  }
+  aClass.mSharesAsOf = aNow;
+  auto sums = aClass.mTeams;
+  const auto* const peers =
+    PeerTeams(aState.mFleet, TeamUseKey(aService, aPriority));
+  if (peers != nullptr) {
+    for (const auto& [team, load] : *peers) {
+      sums[team].mWaiting += load.mWaiting;
+      sums[team].mRunning += load.mRunning;
+    }
+  }
+  std::vector<TeamDemand> demands;
+  demands.reserve(sums.size());
+  for (const auto& [team, load] : sums) {
+    demands.push_back({ team,
+                        1,
+                        static_cast<double>(load.mWaiting),
+                        static_cast<double>(load.mRunning) });
+  }
+  const auto kept = std::min(demands.size(), kMaxSharingTeams);
+  std::partial_sort(demands.begin(),
+                    demands.begin() + static_cast<std::ptrdiff_t>(kept),
+                    demands.end(),
+                    [](const TeamDemand& aLeft, const TeamDemand& aRight) {
+                      return aLeft.mWaiting + aLeft.mRunning >
+                             aRight.mWaiting + aRight.mRunning;
+                    });
+  demands.resize(kept);
+  aClass.mShares = ComputeShares(demands, 0);
+  return aClass.mShares;
+}
+
+auto HostShare(const ServingState& aState,
+               const std::string& aService,
+               const ServicePool& aPool,
+               TimePoint aNow) -> double
+{
+  const auto& fleet = aState.mFleet;
+  const auto service = StableHash(aService);
+  const auto own = ArrivalsPerSecond(aPool.mArrivals, aNow);
+  const auto domain = own + DomainArrivals(fleet, aState.mDomain, service);
+  const auto all = own + PeerArrivals(fleet, service);
+  const auto hosts =
+    static_cast<double>(ResponsivePeersIn(fleet, aState.mDomain) + 1);
+  // Without reports, the registered hosts are assumed to have equal parts. The
+  // rate of a single host is too noisy to be its part of the domain's.
+  return all > own && domain > 0
+           ? domain / all / hosts
+           : 1 / static_cast<double>(fleet.mPeers.size() + 1);
+}
+
+auto IsServedBefore(const ServicePool& aPool,
+                    const QueuedRequest& aLeft,
+                    const QueuedRequest& aRight,
+                    TimePoint aNow) -> bool
+{
+  if (aLeft.mPriority != aRight.mPriority) {
+    return aLeft.mPriority < aRight.mPriority;
+  }
+  const auto found = aPool.mClasses.find(aLeft.mPriority);
+  const auto rank = [&](const QueuedRequest& aWaiter) {
+    WaiterRank result;
+    if (found != aPool.mClasses.end()) {
+      const auto& over = found->second.mShares.mOver;
+      result.mOverShare =
+        std::find(over.begin(), over.end(), aWaiter.mTeam) != over.end();
+    }
+    result.mLate = aNow > aWaiter.mLatestStart;
+    result.mArrivalNumber = aWaiter.mArrivalNumber;
+    return result;
+  };
+  return IsServedBefore(rank(aLeft), rank(aRight));
+}
+
+auto FirstWaiter(const ServicePool& aPool, TimePoint aNow)
+  -> const QueuedRequest&
+{
+  const auto* first = &*aPool.mQueue.begin();
+  for (const auto& waiter : aPool.mQueue) {
+    if (waiter.mPriority != first->mPriority) {
+      break;
+    }
+    if (IsServedBefore(aPool, waiter, *first, aNow)) {
+      first = &waiter;
+    }
+  }
+  return *first;
+}
+
 auto WakeFirstWaiter(ServicePool& aPool) -> void
 {
   if (!aPool.mQueue.empty()) {
-    aPool.mQueue.begin()->mWakeup->Notify();
+    FirstWaiter(aPool, Clock::now()).mWakeup->Notify();
   }
 }
 
@@ -658,6 +794,10 @@
       report.queues.emplace_back(
         StableHash(service), static_cast<std::uint32_t>(pool.mQueue.size()));
     }
+    for (const auto& [priority, requests] : pool.mClasses) {
+      AddTeamUses(
+        report.team_uses, TeamUseKey(service, priority), requests.mTeams);
+    }
   }
   const auto changedAfter = aNow - kAdmissionReportDuration;
   for (const auto& [hash, rate] : aState.mRateOfHash) {
@@ -708,8 +848,10 @@
     const auto rate = ArrivalsPerSecond(pool.mArrivals, aNow) +
                       PeerArrivals(aState.mFleet, StableHash(service));
     const auto high = pool.mDemand.mHigh;
+    const auto began = pool.mDemand.mPhaseBegan;
     RecordDemand(pool.mDemand, rate, aNow);
     if (pool.mDemand.mHigh != high) {
+      RecordPhase(pool.mReturns, high, began, pool.mDemand.mPhaseBegan);
       const auto end = PhaseEnd(pool.mDemand, aNow);
       const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end.value_or(aNow) - aNow);
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -15,6 +15,7 @@
 #include "mangovalve/limits/fleet_rate.h"
 #include "mangovalve/loop/http_client.h"
 #include "mangovalve/loop/wakeup.h"
+#include "mangovalve/routing/admission.h"
 #include "mangovalve/routing/crash_suspects.h"
 #include "mangovalve/routing/demand_cycle.h"
 #include "mangovalve/routing/endpoint_activity.h"
@@ -76,6 +77,9 @@
   int mPriority = 0;
   std::uint64_t mArrivalNumber = 0;
   Wakeup* mWakeup = nullptr;
+  std::uint64_t mTeam = 0; // hash of the name
+  // A later start is too late for the objective.
+  TimePoint mLatestStart = TimePoint::max();
 
   auto operator<(const QueuedRequest& aOther) const -> bool
   {
@@ -85,6 +89,15 @@
   }
 };
 
+// Online requests of one priority for a service at this host.
+struct PriorityClass
+{
+  ArrivalRate mArrivals;
+  TeamLoads mTeams;   // by hash of the team's name; no zero entries
+  TeamShares mShares; // of all hosts, renewed while requests wait
+  TimePoint mSharesAsOf{};
+};
+
 struct ServicePool
 {
   std::vector<EndpointPtr> mEndpoints;
@@ -92,11 +105,19 @@
   std::set<QueuedRequest> mQueue;
   // Mean duration of online requests at an endpoint; 0: unknown.
   double mMeanSeconds = 0;
+  // Mean time for which online requests hold a slot, without the time in the
+  // queues of endpoints; 0: unknown.
+  double mHoldSeconds = 0;
+  // Time from the dispatch to the first event without a queue; 0: unknown.
+  double mFirstEventSeconds = 0;
+  // By priority; the document has few of them.
+  std::map<int, PriorityClass> mClasses;
+  ReturnPlan mReturns; // of callers that were refused for want of a slot
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
-  ArrivalRate mArrivals;                    // of online requests at this host
-  DemandCycle mDemand;                      // of all hosts
+  ArrivalRate mArrivals; // of online requests at this host
+  DemandCycle mDemand;   // of all hosts
   // By failure domain; none for domains of which nothing is reported.
   std::map<std::string, SlotShare> mShares;
 };
@@ -239,6 +260,53 @@
 auto IdleConnectionLimit(const ServingState& aState, const Endpoint& aEndpoint)
   -> std::size_t;
 
+// Counts a request of a team as running during its lifetime.
+class ScopedTeamRun
+{
+public:
+  ScopedTeamRun(ServingState& aState,
+                std::string aService,
+                int aPriority,
+                std::uint64_t aTeam);
+  ~ScopedTeamRun();
+  ScopedTeamRun(const ScopedTeamRun&) = delete;
+  auto operator=(const ScopedTeamRun&) -> ScopedTeamRun& = delete;
+
+private:
+  ServingState& mState;
+  std::string mService;
+  int mPriority;
+  std::uint64_t mTeam;
+};
+
+// Removes the team if it has no request any more.
+auto ForgetIdleTeam(PriorityClass& aClass, std::uint64_t aTeam) -> void;
+
+// Shares of the teams of all hosts in the slots that requests of this priority
+// hold. Computed anew at most every 50 ms.
+auto SharesOf(const ServingState& aState,
+              const std::string& aService,
+              int aPriority,
+              PriorityClass& aClass,
+              TimePoint aNow) -> const TeamShares&;
+
+// Fraction of a service's slots that becomes free for requests of this host.
+auto HostShare(const ServingState& aState,
+               const std::string& aService,
+               const ServicePool& aPool,
+               TimePoint aNow) -> double;
+
+// Whether the left request is served before the right one, of the same pool.
+auto IsServedBefore(const ServicePool& aPool,
+                    const QueuedRequest& aLeft,
+                    const QueuedRequest& aRight,
+                    TimePoint aNow) -> bool;
+
+// The request in the pool's queue that is served first. The queue must not be
+// empty.
+auto FirstWaiter(const ServicePool& aPool, TimePoint aNow)
+  -> const QueuedRequest&;
+
 // Wakes the first request in the pool's queue.
 auto WakeFirstWaiter(ServicePool& aPool) -> void;
 auto WakeFirstWaiterOfEachPool(ServingState& aState) -> void;
