Preempt batch items once per excess; start them by the forecast

Cause: each owner preempted for the same online request at every look until reports showed the effect, and rounded on its own. With one item at each of five owners, the expected number of preemptions for one request was 1 per look. Load that an endpoint had stated counted twice while the reports with the same requests arrived. Items started just before the demand rose. Change: an excess is answered once until reports must show the effect. Hosts choose the items by one common order, so equal reports give exactly the needed number. Stated load counts without what peers have reported since, and only if it lasts for two looks or online requests wait. Items that are almost done come last. With a forecast, an item starts only if it ends or makes progress before the rise, can keep its slot in it, or would otherwise be late. Counters of starts, stops and results; the stop reason in the `item` line.

--- a/mangovalve/batch/item_run_time.cc
+++ b/mangovalve/batch/item_run_time.cc
@@ -49,13 +49,19 @@
   return RunTimeOf(aEstimate, std::max(least, aEstimate.mEvents - aReceived));
 }
 
+auto LatestStart(const RunTimeEstimate& aEstimate,
+                 std::uint32_t aReceived,
+                 TimePoint aDue) -> TimePoint
+{
+  return aDue - kPublishDelay - RemainingRunTime(aEstimate, aReceived);
+}
+
 auto TimelinessOf(const RunTimeEstimate& aEstimate,
                   std::uint32_t aReceived,
                   TimePoint aDue,
                   TimePoint aNow) -> Timeliness
 {
-  const auto slack =
-    aDue - aNow - kPublishDelay - RemainingRunTime(aEstimate, aReceived);
+  const auto slack = LatestStart(aEstimate, aReceived, aDue) - aNow;
   if (slack < Duration::zero()) {
     return Timeliness::Late;
   }
--- a/mangovalve/batch/item_run_time.h
+++ b/mangovalve/batch/item_run_time.h
@@ -37,6 +37,12 @@
 auto RemainingRunTime(const RunTimeEstimate& aEstimate, std::uint32_t aReceived)
   -> Duration;
 
+// Latest start or resumption of an item with which its result is published by
+// aDue.
+auto LatestStart(const RunTimeEstimate& aEstimate,
+                 std::uint32_t aReceived,
+                 TimePoint aDue) -> TimePoint;
+
 enum class Timeliness
 {
   Urgent, // would be late if it had to wait or were preempted once more
--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -9,6 +9,7 @@
 
 #include "mangovalve/base/id.h"
 #include "mangovalve/online/event_stream.h"
+#include "mangovalve/routing/batch_yield.h"
 #include "mangovalve/serving/endpoint_crash.h"
 #include "mangovalve/serving/endpoint_statements.h"
 #include "mangovalve/telemetry/counters.h"
@@ -20,6 +21,10 @@
 // Items that one daemon starts on a service in one interval, at most.
 constexpr std::size_t kMaxStarts = 8;
 
+// Items of a partition that are considered in one interval. More than
+// kMaxStarts, because the forecast may not allow the first ones to start.
+constexpr std::size_t kMaxConsidered = 32;
+
 // Times per interval that the next items of a partition are selected again
 // because some of the selected ones were quarantined.
 constexpr int kMaxSelections = 16;
@@ -101,6 +106,19 @@
   }
 }
 
+auto NameOf(StartRule aRule) -> std::string
+{
+  switch (aRule) {
+    case StartRule::BeforeRise:
+      return "before_rise";
+    case StartRule::MustStart:
+      return "must_start";
+    case StartRule::ThroughRise:
+      return "through_rise";
+  }
+  return "";
+}
+
 // Makes the next run of the item start with its first event.
 auto DiscardOutput(BatchItem& aItem) -> void
 {
@@ -124,18 +142,10 @@
   }
 }
 
-// Late items come first, since they miss their due time anyway; then those with
-// the fewest events, which have the least output to replay when they resume.
 auto ItemRunner::PreemptionCandidates(const EndpointPtr& aEndpoint) const
   -> std::vector<RunningItemPtr>
 {
-  struct Candidate
-  {
-    bool mLate = false;
-    std::uint32_t mEvents = 0;
-    RunningItemPtr mRun;
-  };
-  std::vector<Candidate> candidates;
+  std::vector<std::pair<YieldingItem, RunningItemPtr>> candidates;
   const auto now = Clock::now();
   for (const auto& run : mRunning) {
     if (run->mEndpoint != aEndpoint || run->mStopped) {
@@ -145,25 +155,32 @@
     const auto timeliness =
       TimelinessOf(mEstimate, events, run->mItem.mDue, now);
     if (timeliness != Timeliness::Urgent) {
-      candidates.push_back({ timeliness == Timeliness::Late, events, run });
+      candidates.emplace_back(YieldingItem{ timeliness == Timeliness::Late,
+                                            RemainingRunTime(mEstimate, events),
+                                            events },
+                              run);
     }
   }
   std::sort(candidates.begin(),
             candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return aLeft.mLate != aRight.mLate
-                       ? aLeft.mLate
-                       : aLeft.mEvents < aRight.mEvents;
+            [](const auto& aLeft, const auto& aRight) {
+              return YieldsBefore(aLeft.first, aRight.first);
             });
   std::vector<RunningItemPtr> runs;
   for (auto& candidate : candidates) {
-    runs.push_back(std::move(candidate.mRun));
+    runs.push_back(std::move(candidate.second));
   }
   return runs;
 }
 
-auto ItemRunner::Stop(RunningItem& aRun) -> void
+auto ItemRunner::Stop(RunningItem& aRun, std::string_view aReason) -> void
 {
+  if (!aRun.mStopped) {
+    aRun.mStopReason = aReason;
+    FindCounter("mangovalve_batch_stops_total",
+                { { "reason", aRun.mStopReason } })
+      .Add();
+  }
   aRun.mStopped = true;
   if (aRun.mStop) {
     aRun.mStop();
@@ -174,7 +191,7 @@
 {
   for (const auto& run : mRunning) {
     if (run->mItem.mJob.get() == &aJob) {
-      Stop(*run);
+      Stop(*run, "job_ended");
     }
   }
 }
@@ -183,7 +200,7 @@
 {
   for (const auto& run : mRunning) {
     if (run->mPartition.get() == &aPartition) {
-      Stop(*run);
+      Stop(*run, "partition_left");
     }
   }
 }
@@ -191,7 +208,7 @@
 auto ItemRunner::StopAll() -> void
 {
   for (const auto& run : mRunning) {
-    Stop(*run);
+    Stop(*run, "shutdown");
   }
 }
 
@@ -204,7 +221,7 @@
     const auto superseded =
       std::find(held.begin(), held.end(), run->mPartition) == held.end();
     if (superseded && !run->mStopped) {
-      Stop(*run);
+      Stop(*run, "partition_left");
     }
   }
 }
@@ -215,26 +232,57 @@
     return;
   }
   StopSuperseded();
+  absl::flat_hash_map<std::uint64_t, YieldMemory> yields;
   for (auto& [service, pool] : mState.mPools) {
+    const auto waiting = static_cast<double>(pool.mQueue.size()) +
+                         PeerWaiting(mState.mFleet, StableHash(service));
     for (const auto& endpoint : pool.mEndpoints) {
-      const auto own = endpoint->mOwnInFlight.mBatch;
-      if (own == 0) {
-        continue;
-      }
-      const auto count = BatchItemsToPreempt(
-        CandidateOf(mState, *endpoint, LimitedUse::Spare, aNow),
-        own,
-        mState.mRandom);
-      if (count == 0) {
-        continue;
-      }
-      auto runs = PreemptionCandidates(endpoint);
-      runs.resize(std::min<std::size_t>(count, runs.size()));
-      for (const auto& run : runs) {
-        Stop(*run);
+      if (endpoint->mOwnInFlight.mBatch > 0) {
+        auto& memory = yields[endpoint->mHash];
+        memory = mYields[endpoint->mHash];
+        YieldAt(endpoint, memory, waiting, aNow);
       }
     }
   }
+  mYields = std::move(yields);
+}
+
+auto ItemRunner::YieldAt(const EndpointPtr& aEndpoint,
+                         YieldMemory& aMemory,
+                         double aWaiting,
+                         TimePoint aNow) -> void
+{
+  const auto candidate =
+    CandidateOf(mState, *aEndpoint, LimitedUse::Spare, aNow);
+  const YieldLoad load{ UsableSlots(candidate),
+                        candidate.mOnline,
+                        candidate.mBatch,
+                        UnreportedLoad(mState, *aEndpoint, aNow),
+                        aWaiting,
+                        aEndpoint->mOwnDomain };
+  const auto demand = ItemsToYield(aMemory, load, aNow);
+  if (demand.mItems <= 0) {
+    return;
+  }
+  YieldPosition position{ 0,
+                          static_cast<double>(aEndpoint->mOwnInFlight.mBatch),
+                          candidate.mBatch };
+  // Hosts whose reports differ may have chosen too few items together.
+  auto offset = Uniform(mState.mRandom);
+  if (!aMemory.mRepeated) {
+    Random common{ aEndpoint->mHash }; // the same at all hosts
+    offset = Uniform(common);
+    position.mBefore = BatchBefore(
+      mState.mFleet, mState.mHost, mState.mDomain, aEndpoint->mHash);
+  }
+  auto runs = PreemptionCandidates(aEndpoint);
+  const auto part = OwnPart(demand.mItems, position, offset);
+  runs.resize(std::min<std::size_t>(part, runs.size()));
+  for (const auto& run : runs) {
+    Stop(*run,
+         demand.mReason == YieldReason::Unseen ? "online_unseen" : "online");
+  }
+  aMemory.mAnswered -= static_cast<double>(runs.size());
 }
 
 auto ItemRunner::AbandonItems(TimePoint aNow) -> void
@@ -283,7 +331,7 @@
 {
   for (auto selection = 0; selection < kMaxSelections; ++selection) {
     auto items = RunnableItems(
-      aPartition->Jobs(), *mState.mDocument, aService, kMaxStarts, aInput);
+      aPartition->Jobs(), *mState.mDocument, aService, kMaxConsidered, aInput);
     const auto heldBack = std::erase_if(items, [&](const RunnableItem& aItem) {
       const auto quarantined = IsQuarantined(aItem, aInput.mNow);
       if (quarantined) {
@@ -299,6 +347,47 @@
   return {};
 }
 
+auto ItemRunner::RuleOf(const SlotOutlook& aOutlook,
+                        const RunnableItem& aItem,
+                        TimePoint aNow) const -> StartRule
+{
+  const auto events = aItem.mJob->mItems[aItem.mIndex].mEvents;
+  const StartingItem item{ RemainingRunTime(mEstimate, events),
+                           RemainingRunTime(mEstimate, 0),
+                           LatestStart(mEstimate, events, aItem.mDue),
+                           aItem.mLate };
+  return StartRuleOf(aOutlook, item, aNow);
+}
+
+auto ItemRunner::RoomThroughRiseFor(
+  const SlotOutlook& aOutlook,
+  std::span<const PlacementCandidate> aCandidates,
+  TimePoint aNow) -> std::size_t
+{
+  auto slots = 0.0;
+  auto batch = 0.0;
+  auto headroom = 0.0;
+  for (const auto& candidate : aCandidates) {
+    slots += candidate.mUsable ? UsableSlots(candidate) : 0;
+    headroom += candidate.mUsable ? mState.mPlacement.mBatchHeadroom : 0;
+    batch += candidate.mBatch;
+  }
+  // The items of other hosts are assumed to be as far as those of this host.
+  std::size_t lasting = 0;
+  for (const auto& run : mRunning) {
+    const auto events = run->mItem.mJob->mItems[run->mItem.mIndex].mEvents;
+    lasting +=
+      aNow + RemainingRunTime(mEstimate, events) > aOutlook.mRiseAt ? 1 : 0;
+  }
+  if (!mRunning.empty()) {
+    batch *=
+      static_cast<double>(lasting) / static_cast<double>(mRunning.size());
+  }
+  const auto room = RoomThroughRise(aOutlook, slots, batch, headroom) /
+                    static_cast<double>(mPorts.mOwners());
+  return static_cast<std::size_t>(room + Uniform(mState.mRandom));
+}
+
 auto ItemRunner::StartItemsOf(const std::string& aService,
                               ServicePool& aPool,
                               TimePoint aNow) -> void
@@ -325,9 +414,23 @@
   const auto spare = SpareSlotsForBatch(candidates, mState.mPlacement);
   const auto share = spare / static_cast<double>(mPorts.mOwners());
   auto starts = static_cast<std::size_t>(share + Uniform(mState.mRandom));
-  starts = std::min({ starts, items.size(), kMaxStarts });
+  starts = std::min(starts, kMaxStarts);
   LogLoad(aService, items.size(), late, spare, aNow);
-  for (std::size_t i = 0; i < starts; ++i) {
+  const auto outlook = OutlookOf(aPool.mDemand, aPool.mMeanSeconds, aNow);
+  auto room = outlook ? RoomThroughRiseFor(*outlook, candidates, aNow) : 0;
+  for (std::size_t i = 0; i < items.size() && starts > 0; ++i) {
+    const auto rule =
+      outlook ? RuleOf(*outlook, items[i].first, aNow) : StartRule::BeforeRise;
+    if (rule == StartRule::ThroughRise) {
+      if (room == 0) {
+        continue;
+      }
+      --room;
+    }
+    --starts;
+    FindCounter("mangovalve_batch_starts_total",
+                { { "rule", outlook ? NameOf(rule) : "no_forecast" } })
+      .Add();
     const auto urgency =
       items[i].first.mLate ? BatchUrgency::Late : BatchUrgency::OnTime;
     const auto place =
@@ -417,10 +520,17 @@
              { "endpoint", aRun->mEndpoint->mRegistration.mId },
              { "events", absl::StrCat(aRun->mEvents) },
              { "failures", absl::StrCat(item.mFailures) },
-             { "outcome", outcomeName } });
+             { "outcome", outcomeName },
+             { "stop_reason", aRun->mStopReason } });
   if (job->mEnded || item.mFinished) {
     co_return;
   }
+  if (outcome == RunOutcome::Completed ||
+      outcome == RunOutcome::PermanentFailure) {
+    FindCounter("mangovalve_batch_results_total",
+                { { "outcome", outcomeName } })
+      .Add();
+  }
   if (outcome == RunOutcome::Completed) {
     aRun->mPartition->Finish(job, index, true, std::move(item.mOutput));
   } else if (outcome == RunOutcome::PermanentFailure) {
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -9,9 +9,15 @@
 #include <functional>
 #include <list>
 #include <optional>
+#include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
+
 #include "mangovalve/batch/job_partition.h"
+#include "mangovalve/routing/batch_yield.h"
 #include "mangovalve/serving/state.h"
 
 namespace mangovalve {
@@ -82,6 +88,7 @@
     // When the endpoint ended the connection before it had begun to answer.
     std::optional<TimePoint> mLostAt;
     bool mStopped = false;
+    std::string mStopReason;     // for the log; empty: not stopped
     std::function<void()> mStop; // closes the connection
   };
   using RunningItemPtr = std::shared_ptr<RunningItem>;
@@ -96,6 +103,11 @@
 
   auto StopSuperseded() -> void;
   auto Yield(TimePoint aNow) -> void;
+  // Preempts items at one endpoint for online requests.
+  auto YieldAt(const EndpointPtr& aEndpoint,
+               YieldMemory& aMemory,
+               double aWaiting,
+               TimePoint aNow) -> void;
   auto StartItems(TimePoint aNow) -> void;
   auto StartItemsOf(const std::string& aService,
                     ServicePool& aPool,
@@ -118,7 +130,15 @@
   auto NextItems(const JobPartitionPtr& aPartition,
                  const std::string& aService,
                  const SchedulingInput& aInput) -> std::vector<RunnableItem>;
-  auto Stop(RunningItem& aRun) -> void;
+  // Which rule allows the item to start, by the forecast of the demand.
+  auto RuleOf(const SlotOutlook& aOutlook,
+              const RunnableItem& aItem,
+              TimePoint aNow) const -> StartRule;
+  // Items that may start now although they may still run when the demand rises.
+  auto RoomThroughRiseFor(const SlotOutlook& aOutlook,
+                          std::span<const PlacementCandidate> aCandidates,
+                          TimePoint aNow) -> std::size_t;
+  static auto Stop(RunningItem& aRun, std::string_view aReason) -> void;
   // The items on an endpoint that may be preempted, those to preempt first at
   // the front. Urgent items are not among them.
   auto PreemptionCandidates(const EndpointPtr& aEndpoint) const
@@ -135,6 +155,8 @@
   ItemRunnerPorts mPorts;
   std::list<RunningItemPtr> mRunning; // newest last
   RunTimeEstimate mEstimate;
+  // By hash of the id, of the endpoints at which items of this host run.
+  absl::flat_hash_map<std::uint64_t, YieldMemory> mYields;
   bool mPaused = false;
   TimePoint mNextLoadLog{}; // of batch_load
 };
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -7,15 +7,10 @@
 namespace mangovalve {
 namespace {
 
-auto Slots(const PlacementCandidate& aCandidate) -> double
-{
-  return std::max(1.0, std::floor(aCandidate.mSlots * aCandidate.mSlowStart));
-}
-
 // Free slots; negative if requests wait at the endpoint.
 auto FreeSlots(const PlacementCandidate& aCandidate) -> double
 {
-  return Slots(aCandidate) - aCandidate.mOnline - aCandidate.mBatch -
+  return UsableSlots(aCandidate) - aCandidate.mOnline - aCandidate.mBatch -
          aCandidate.mUnseen;
 }
 
@@ -89,9 +84,14 @@
 
 } // namespace
 
+auto UsableSlots(const PlacementCandidate& aCandidate) -> double
+{
+  return std::max(1.0, std::floor(aCandidate.mSlots * aCandidate.mSlowStart));
+}
+
 auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double
 {
-  return Slots(aCandidate) - aCandidate.mOnline - aCandidate.mUnseen;
+  return UsableSlots(aCandidate) - aCandidate.mOnline - aCandidate.mUnseen;
 }
 
 auto PlaceOnline(std::span<const PlacementCandidate> aCandidates,
@@ -144,19 +144,4 @@
   return spare;
 }
 
-auto BatchItemsToPreempt(const PlacementCandidate& aCandidate,
-                         std::uint32_t aOwnBatch,
-                         Random& aRandom) -> std::uint32_t
-{
-  const auto excess = std::min(-FreeSlots(aCandidate), aCandidate.mBatch);
-  if (excess <= 0 || aOwnBatch == 0) {
-    return 0;
-  }
-  const auto own = static_cast<double>(aOwnBatch);
-  const auto share = excess * own / std::max(own, aCandidate.mBatch);
-  const auto whole = std::floor(share);
-  const auto extra = Uniform(aRandom) < share - whole ? 1 : 0;
-  return std::min(aOwnBatch, static_cast<std::uint32_t>(whole) + extra);
-}
-
 } // namespace mangovalve
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -3,8 +3,8 @@
 //
 // Engines run a fixed number of requests at once, admit in order of arrival and
 // have no priorities. So online requests may take any slot that is not held by
-// another online request, batch items only spare slots, and batch items are
-// preempted where an endpoint has more requests than slots.
+// another online request, batch items only spare slots. Where an endpoint has
+// more requests than slots, batch items yield; see batch_yield.h.
 #pragma once
 
 #include <cstdint>
@@ -46,6 +46,9 @@
   double mFreeSlotPower = 2;
 };
 
+// Slots of the endpoint, reduced by a slow start; at least 1.
+auto UsableSlots(const PlacementCandidate& aCandidate) -> double;
+
 // Slots that online requests can use once batch items are preempted; negative
 // if online requests wait at the endpoint.
 auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double;
@@ -79,12 +82,4 @@
 auto SpareSlotsForBatch(std::span<const PlacementCandidate> aCandidates,
                         const PlacementPolicy& aPolicy) -> double;
 
-// Number of this host's aOwnBatch items at the endpoint to preempt, so that
-// online requests get their slots. Each host preempts in proportion to its
-// items there and rounds randomly, so that all hosts together preempt about as
-// many as needed.
-auto BatchItemsToPreempt(const PlacementCandidate& aCandidate,
-                         std::uint32_t aOwnBatch,
-                         Random& aRandom) -> std::uint32_t;
-
 } // namespace mangovalve
--- a/mangovalve/serving/fleet_load.cc
+++ b/mangovalve/serving/fleet_load.cc
@@ -288,6 +288,30 @@
   return found == aFleet.mWaiting.end() ? 0 : found->second;
 }
 
+auto BatchBefore(const FleetLoad& aFleet,
+                 const std::string& aHost,
+                 const std::string& aDomain,
+                 std::uint64_t aEndpoint) -> std::uint32_t
+{
+  std::uint32_t batch = 0;
+  const auto add = [&](const std::vector<wire::EndpointUse>& aUses) {
+    for (const auto& use : aUses) {
+      batch += use.endpoint() == aEndpoint ? use.batch() : 0;
+    }
+  };
+  for (const auto& [name, domain] : aFleet.mDomains) {
+    if (name < aDomain && !domain.mUnresponsive) {
+      add(domain.mLast.endpoints);
+    }
+  }
+  for (const auto& [host, peer] : aFleet.mPeers) {
+    if (peer.mDomain == aDomain && host < aHost && !peer.mUnresponsive) {
+      add(peer.mLast.endpoints);
+    }
+  }
+  return batch;
+}
+
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double
 {
   auto sum = 0.0;
--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -127,6 +127,14 @@
 auto PeerWaiting(const FleetLoad& aFleet, std::uint64_t aService)
   -> std::uint32_t;
 
+// Batch items at the endpoint of the responsive hosts that come before this
+// host in the order of domains and, within its domain, of hosts. All hosts use
+// the same order.
+auto BatchBefore(const FleetLoad& aFleet,
+                 const std::string& aHost,
+                 const std::string& aDomain,
+                 std::uint64_t aEndpoint) -> std::uint32_t;
+
 // Arrivals per second at the responsive peers.
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double;
 
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -537,6 +537,21 @@
     static_cast<double>(*aLoad.mRunning) + static_cast<double>(*aLoad.mWaiting);
   aEndpoint.mUnaccountedLoad = std::max(0.0, reported - known);
   aEndpoint.mUnaccountedLoadAt = Clock::now();
+  const auto peers = PeerInFlight(aState.mFleet, aEndpoint.mHash);
+  aEndpoint.mPeersAtStatement = peers.mOnline + peers.mBatch;
+}
+
+auto UnreportedLoad(const ServingState& aState,
+                    const Endpoint& aEndpoint,
+                    TimePoint aNow) -> double
+{
+  const auto peers = PeerInFlight(aState.mFleet, aEndpoint.mHash);
+  const auto reportedSince =
+    static_cast<double>(peers.mOnline + peers.mBatch) -
+    static_cast<double>(aEndpoint.mPeersAtStatement);
+  return std::max(0.0,
+                  UnaccountedLoad(aEndpoint, aNow) -
+                    std::max(0.0, reportedSince));
 }
 
 auto ApplyPeerReport(ServingState& aState,
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -65,6 +65,8 @@
   // account for, and when it reported them. The value decays with time.
   double mUnaccountedLoad = 0;
   TimePoint mUnaccountedLoadAt{};
+  // Requests of the peers at the endpoint by their reports at that time.
+  std::uint32_t mPeersAtStatement = 0;
   bool mRemoved = false;
 };
 
@@ -252,6 +254,12 @@
                         Endpoint& aEndpoint,
                         const ReportedLoad& aLoad) -> void;
 
+// Requests that the endpoint reported and that no daemon has reported, neither
+// before nor since; decays with time.
+auto UnreportedLoad(const ServingState& aState,
+                    const Endpoint& aEndpoint,
+                    TimePoint aNow) -> double;
+
 // Applies a peer's report to loads, rates and evidence on crashes, then wakes
 // waiting requests.
 auto ApplyPeerReport(ServingState& aState,
