--- a/mangovalve/serving/fleet_load.h
+++ b/mangovalve/serving/fleet_load.h
@@ -153,6 +153,14 @@
                  std::uint64_t aUseKey,
                  const TeamLoads& aTeams) -> void;
 
+// Batch items at the endpoint of the responsive hosts that come before this
+// host in the order of domains and, within its domain, of hosts. All hosts use
+// the same order.
+auto BatchBefore(const FleetLoad& aFleet,
+                 const std::string& aHost,
+                 const std::string& aDomain,
+                 std::uint64_t aEndpoint) -> std::uint32_t;
+
 // Arrivals per second at the responsive peers.
 auto PeerArrivals(const FleetLoad& aFleet, std::uint64_t aService) -> double;
 
