--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -347,7 +347,7 @@
   return {};
 }
 
-auto ItemRunner::RuleOf(const SlotOutlook& aOutlook,
+auto ItemRunner::RuleOf(const RiseOutlook& aOutlook,
                         const RunnableItem& aItem,
                         TimePoint aNow) const -> StartRule
 {
@@ -360,7 +360,7 @@
 }
 
 auto ItemRunner::RoomThroughRiseFor(
-  const SlotOutlook& aOutlook,
+  const RiseOutlook& aOutlook,
   std::span<const PlacementCandidate> aCandidates,
   TimePoint aNow) -> std::size_t
 {
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -131,11 +131,11 @@
                  const std::string& aService,
                  const SchedulingInput& aInput) -> std::vector<RunnableItem>;
   // Which rule allows the item to start, by the forecast of the demand.
-  auto RuleOf(const SlotOutlook& aOutlook,
+  auto RuleOf(const RiseOutlook& aOutlook,
               const RunnableItem& aItem,
               TimePoint aNow) const -> StartRule;
   // Items that may start now although they may still run when the demand rises.
-  auto RoomThroughRiseFor(const SlotOutlook& aOutlook,
+  auto RoomThroughRiseFor(const RiseOutlook& aOutlook,
                           std::span<const PlacementCandidate> aCandidates,
                           TimePoint aNow) -> std::size_t;
   static auto Stop(RunningItem& aRun, std::string_view aReason) -> void;
--- a/mangovalve/routing/batch_yield.cc
+++ b/mangovalve/routing/batch_yield.cc
@@ -102,13 +102,13 @@
 }
 
 auto OutlookOf(const DemandCycle& aCycle, double aMeanSeconds, TimePoint aNow)
-  -> std::optional<SlotOutlook>
+  -> std::optional<RiseOutlook>
 {
   const auto end = PhaseEnd(aCycle, aNow);
   if (!end || aMeanSeconds <= 0) {
     return std::nullopt;
   }
-  SlotOutlook outlook;
+  RiseOutlook outlook;
   outlook.mOnlineThen = aCycle.mHighPhase.mRate * aMeanSeconds;
   if (!aCycle.mHigh) {
     outlook.mRiseAt = *end;
@@ -123,7 +123,7 @@
   return outlook;
 }
 
-auto RoomThroughRise(const SlotOutlook& aOutlook,
+auto RoomThroughRise(const RiseOutlook& aOutlook,
                      double aSlots,
                      double aBatch,
                      double aHeadroom) -> double
@@ -131,7 +131,7 @@
   return std::max(0.0, aSlots - aOutlook.mOnlineThen - aBatch - aHeadroom);
 }
 
-auto StartRuleOf(const SlotOutlook& aOutlook,
+auto StartRuleOf(const RiseOutlook& aOutlook,
                  const StartingItem& aItem,
                  TimePoint aNow) -> StartRule
 {
--- a/mangovalve/routing/batch_yield.h
+++ b/mangovalve/routing/batch_yield.h
@@ -92,7 +92,7 @@
   -> bool;
 
 // Online demand for a service's slots in the next seconds.
-struct SlotOutlook
+struct RiseOutlook
 {
   TimePoint mRiseAt{}; // when the next phase of high demand begins
   // End of that phase.
@@ -103,11 +103,11 @@
 // The outlook when online requests take aMeanSeconds; nullopt if there is no
 // forecast.
 auto OutlookOf(const DemandCycle& aCycle, double aMeanSeconds, TimePoint aNow)
-  -> std::optional<SlotOutlook>;
+  -> std::optional<RiseOutlook>;
 
 // Batch items that can keep their slots during the rise, beyond the aBatch
 // items that will then run. aHeadroom slots stay free.
-auto RoomThroughRise(const SlotOutlook& aOutlook,
+auto RoomThroughRise(const RiseOutlook& aOutlook,
                      double aSlots,
                      double aBatch,
                      double aHeadroom) -> double;
@@ -128,7 +128,7 @@
   ThroughRise, // only if it can keep its slot during the rise
 };
 
-auto StartRuleOf(const SlotOutlook& aOutlook,
+auto StartRuleOf(const RiseOutlook& aOutlook,
                  const StartingItem& aItem,
                  TimePoint aNow) -> StartRule;
 
--- a/mangovalve/routing/batch_yield_test.cc
+++ b/mangovalve/routing/batch_yield_test.cc
@@ -234,7 +234,7 @@
 
 TEST_CASE("items that keep their slots in the rise are bounded by the forecast")
 {
-  SlotOutlook outlook;
+  RiseOutlook outlook;
   outlook.mOnlineThen = 500;
   CHECK(RoomThroughRise(outlook, 712, 100, 89) == 23);
   CHECK(RoomThroughRise(outlook, 712, 200, 89) == 0);
