Let a host that receives most requests expect more of the slots

Cause: a host assumed the same part of the free slots as all hosts of its domain, so one that alone receives the requests of a service would have refused requests that could have waited. Callers of a queue that lasts too long for a planned return were all sent back at the same moment.

Change: HostShare is at least half of the host's part of the arrivals.

--- a/mangovalve/online/slot_queue_test.cc
+++ b/mangovalve/online/slot_queue_test.cc
@@ -211,6 +211,38 @@
   CHECK(pool.Ask(milliseconds(100)).mEndpoint);
 }
 
+TEST_CASE("a host expects the part of the slots that its arrivals justify")
+{
+  // A host that alone receives all requests must not refuse them because other
+  // hosts exist, and silent hosts must not be counted out.
+  FullPool pool(1);
+  auto& service = pool.mState.mPools["llm"];
+  const auto now = Clock::now();
+  const auto share = [&] {
+    return HostShare(pool.mState, "llm", service, now);
+  };
+  CHECK(share() == 1);
+  for (auto i = 0; i < 10; ++i) {
+    RecordArrival(service.mArrivals, now);
+  }
+  const auto own = ArrivalsPerSecond(service.mArrivals, now);
+  const auto report = [&](std::uint64_t aSequence, double aRate) {
+    for (auto i = 0; i < 9; ++i) {
+      wire::LoadReportT load;
+      load.host = std::to_string(i);
+      load.sequence = aSequence;
+      load.demands.emplace_back(StableHash("llm"), static_cast<float>(aRate));
+      ApplyReport(pool.mState.mFleet, std::move(load), now);
+    }
+  };
+  report(1, 0);
+  CHECK(share() == doctest::Approx(0.5));
+  report(2, own);
+  CHECK(share() == doctest::Approx(0.1));
+  MarkUnresponsive(pool.mState.mFleet, now + milliseconds(1));
+  CHECK(share() == doctest::Approx(0.1));
+}
+
 TEST_CASE("among equals, those that can still meet their objective are first")
 {
   ServicePool pool;
--- a/mangovalve/routing/admission.cc
+++ b/mangovalve/routing/admission.cc
@@ -274,8 +274,10 @@
   const auto last =
     std::min(IntervalOf(aOutlook.mLatest) - 1, present + kMaxIntervals);
   PlannedReturn planned;
+  const auto jitter = std::chrono::duration_cast<Duration>(
+    Uniform(aRandom) * Seconds(kReturnInterval));
   if (last <= first) {
-    planned.mAt = std::max(aOutlook.mEarliest, aNow);
+    planned.mAt = std::max(aOutlook.mEarliest, aNow) + jitter;
     if (first < aPlan.mEnd) {
       ++CountOf(aPlan, first);
     }
@@ -308,10 +310,7 @@
   planned.mHasRoom = chosen <= last;
   const auto interval = planned.mHasRoom ? chosen : best;
   ++CountOf(aPlan, interval);
-  planned.mAt = std::max(aOutlook.mEarliest,
-                         BeginOf(interval) +
-                           std::chrono::duration_cast<Duration>(
-                             Uniform(aRandom) * Seconds(kReturnInterval)));
+  planned.mAt = std::max(aOutlook.mEarliest, BeginOf(interval) + jitter);
   return planned;
 }
 
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -588,11 +588,14 @@
   const auto all = own + PeerArrivals(fleet, service);
   const auto hosts =
     static_cast<double>(ResponsivePeersIn(fleet, aState.mDomain) + 1);
-  // Without reports, the registered hosts are assumed to have equal parts. The
-  // rate of a single host is too noisy to be its part of the domain's.
-  return all > own && domain > 0
-           ? domain / all / hosts
-           : 1 / static_cast<double>(fleet.mPeers.size() + 1);
+  if (ResponsivePeerCount(fleet) == 0 || all <= 0) {
+    // The registered hosts may still use the endpoints.
+    return 1 / static_cast<double>(fleet.mPeers.size() + 1);
+  }
+  // The rate of a single host is too noisy to be its part of the domain's,
+  // unless it is far above the others.
+  constexpr double kOwnPart = 0.5;
+  return std::max(domain / hosts, kOwnPart * own) / all;
 }
 
 auto IsServedBefore(const ServicePool& aPool,
