Place requests by the expected time at each endpoint

Cause: No host knew how fast an endpoint's machine works, so a machine four times slower was chosen as often as the others. A request could be placed where it exceeds the free memory, and leading prompt parts that an endpoint still holds had no influence.

Change: Endpoints' stated work factors are smoothed, decay when old and are exchanged in load reports and, if they differ clearly from 1, in summaries. Where they are known, the free slots divided by the expected relative time are filled up from the highest, by the number of requests that other hosts are expected to place unseen. Another domain is used early if the own one takes 1.5 times as long. Requests that exceed the free memory of an endpoint are not placed there; those that exceed all memory are refused at once. Routes with "sticky" prefer endpoints that keep leading parts. Without stated figures, the choice is as before.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -2,6 +2,7 @@
 #include "mangovalve/online/relay.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <absl/strings/str_cat.h>
 
@@ -90,8 +91,36 @@
   std::string mEndpoint; // id of the last endpoint
   std::optional<TimePoint> mFirstSlotAt;
   std::optional<TimePoint> mFirstEventAt; // or the whole answer
+  std::string mDomain;                    // of the last endpoint
+  PlacementInputs mInputs;                // of the last placement
+  // Of this attempt, for the measured times.
+  bool mHadFreeSlot = false;                // at the endpoint, when it was sent
+  std::optional<TimePoint> mAttemptFirstAt; // first event
 };
 
+// Size of the request as far as it matters for its placement.
+auto SizeOf(const RequestContext& aContext) -> RequestSize
+{
+  const auto& metadata = aContext.mMetadata;
+  RequestSize size;
+  size.mPromptTokens = metadata.mPromptTokens;
+  size.mMaxOutputTokens = metadata.mMaxOutputTokens;
+  if (aContext.mRoute->mSticky) {
+    size.mSharedParts = metadata.mSharedParts;
+    size.mSharedPartTokens = metadata.mSharedPartTokens;
+  }
+  return size;
+}
+
+// Why the endpoint was preferred, as a label.
+auto PlacementReason(const Endpoint& aEndpoint, const PlacementInputs& aInputs)
+  -> std::string
+{
+  return !aEndpoint.mOwnDomain  ? "other_domain"
+         : aInputs.mSavedMs > 0 ? "kept_prefix"
+                                : "own_domain";
+}
+
 // When the caller or the route gives up on the request.
 auto DeadlineOf(const RequestContext& aContext) -> TimePoint
 {
@@ -209,6 +238,9 @@
   auto MillisSinceArrival(std::optional<TimePoint> aAt) const -> std::string;
   auto NoteFailure(Endpoint& aEndpoint, std::string_view aReason) -> void;
   auto NoteAnswerBegun() -> void;
+  auto NotePlacement(const Endpoint& aEndpoint) -> void;
+  // Adds the times of this attempt, which is complete, to the measured ones.
+  auto RecordTimes(const Endpoint& aEndpoint, ServiceTimes& aTimes) -> void;
   // Notes the error of a read or write, if the endpoint has caused it.
   auto NoteError(const ErrorCode& aError) -> void;
   // Examines whether the endpoint of the last attempt has crashed, and if so,
@@ -230,19 +262,27 @@
   FindCounter("mangovalve_requests_total",
               { { "outcome", std::string(aOutcome) } })
     .Add();
-  LogEvent(Severity::Info,
-           "request",
-           { { "id", mContext.mMetadata.mId },
-             { "route", mContext.mRoute->mName },
-             { "team", mContext.mTeam },
-             { "document", absl::StrCat(mContext.mDocument->mVersion) },
-             { "endpoint", mContext.mEndpoint },
-             { "attempts", absl::StrCat(mContext.mAttempts) },
-             { "refusals", absl::StrCat(mContext.mRefusals) },
-             { "slot_ms", MillisSinceArrival(mContext.mFirstSlotAt) },
-             { "first_ms", MillisSinceArrival(mContext.mFirstEventAt) },
-             { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) },
-             { "outcome", std::string(aOutcome) } });
+  const auto& inputs = mContext.mInputs;
+  LogEvent(
+    Severity::Info,
+    "request",
+    { { "id", mContext.mMetadata.mId },
+      { "route", mContext.mRoute->mName },
+      { "team", mContext.mTeam },
+      { "document", absl::StrCat(mContext.mDocument->mVersion) },
+      { "endpoint", mContext.mEndpoint },
+      { "attempts", absl::StrCat(mContext.mAttempts) },
+      { "refusals", absl::StrCat(mContext.mRefusals) },
+      { "domain", mContext.mDomain },
+      { "work_factor",
+        inputs.mWorkFactor ? absl::StrCat(*inputs.mWorkFactor) : "none" },
+      { "factor_age_ms", Millis(inputs.mFactorAge) },
+      { "expected_first_ms", absl::StrCat(std::llround(inputs.mFirstEventMs)) },
+      { "saved_ms", absl::StrCat(std::llround(inputs.mSavedMs)) },
+      { "slot_ms", MillisSinceArrival(mContext.mFirstSlotAt) },
+      { "first_ms", MillisSinceArrival(mContext.mFirstEventAt) },
+      { "ms", Millis(Clock::now() - mContext.mCaller->mArrivedAt) },
+      { "outcome", std::string(aOutcome) } });
 }
 
 auto RelayedRequest::MillisSinceArrival(std::optional<TimePoint> aAt) const
@@ -272,9 +312,46 @@
 {
   mContext.mAnswerBegun = true;
   mContext.mFirstEventAt = mContext.mFirstEventAt.value_or(Clock::now());
+  mContext.mAttemptFirstAt = Clock::now();
   RecordStart(mState.mSuspects, mContext.mParts, Clock::now());
 }
 
+auto RelayedRequest::NotePlacement(const Endpoint& aEndpoint) -> void
+{
+  const auto now = Clock::now();
+  mContext.mDomain = aEndpoint.mRegistration.mDomain;
+  mContext.mInputs = InputsOf(mState, aEndpoint, SizeOf(mContext), now);
+  mContext.mHadFreeSlot =
+    HasRoom(CandidateOf(mState, aEndpoint, LimitedUse::Needed, now));
+  FindCounter("mangovalve_placements_total",
+              { { "reason", PlacementReason(aEndpoint, mContext.mInputs) } })
+    .Add();
+}
+
+auto RelayedRequest::RecordTimes(const Endpoint& aEndpoint,
+                                 ServiceTimes& aTimes) -> void
+{
+  if (!mContext.mAttemptFirstAt || mContext.mEventsBefore > 0) {
+    return;
+  }
+  const auto now = Clock::now();
+  const auto factor = CurrentWorkFactor(aEndpoint.mRecord.mWorkFactor, now);
+  if (mContext.mHadFreeSlot) {
+    const auto kept = mContext.mInputs.mKeptTokens;
+    const auto prompt = mContext.mMetadata.mPromptTokens;
+    RecordFirstEvent(aTimes,
+                     prompt > kept ? prompt - kept : 0,
+                     *mContext.mAttemptFirstAt - mContext.mAttemptAt,
+                     factor);
+  }
+  if (mContext.mForwardedEvents > 1) {
+    RecordOutput(aTimes,
+                 mContext.mForwardedEvents - 1,
+                 now - *mContext.mAttemptFirstAt,
+                 factor);
+  }
+}
+
 auto RelayedRequest::NoteError(const ErrorCode& aError) -> void
 {
   if (!mContext.mAnswerBegun && EndedByEndpoint(aError)) {
@@ -391,12 +468,14 @@
   for (;;) {
     // A named object, because g++ 12 destroys a braced argument of an awaited
     // call twice.
-    SlotRequest request{
-      mContext.mCaller,          mContext.mMetadata.mId,
-      mContext.mService,         mContext.mPriority,
-      mContext.mTried,           mContext.mRoute->mLatencyObjective,
-      WaitDeadline(Clock::now())
-    };
+    SlotRequest request{ mContext.mCaller,
+                         mContext.mMetadata.mId,
+                         mContext.mService,
+                         mContext.mPriority,
+                         mContext.mTried,
+                         mContext.mRoute->mLatencyObjective,
+                         WaitDeadline(Clock::now()),
+                         SizeOf(mContext) };
     auto slot = co_await AcquireSlot(mState, std::move(request));
     if (mContext.mCaller->Disconnected()) {
       co_await EndForGoneCaller();
@@ -413,6 +492,7 @@
     }
     mContext.mEndpoint = slot.mEndpoint->mRegistration.mId;
     mContext.mFirstSlotAt = mContext.mFirstSlotAt.value_or(Clock::now());
+    NotePlacement(*slot.mEndpoint);
     auto step = co_await Attempt(slot.mEndpoint);
     if (step == StepResult::Failed && mContext.mLostAt) {
       step = co_await ExamineLoss(slot.mEndpoint);
@@ -493,7 +573,8 @@
 
 auto RelayedRequest::Attempt(EndpointPtr aEndpoint) -> Task<StepResult>
 {
-  const ScopedInFlight use(mState, aEndpoint, Workload::Online);
+  const ScopedInFlight use(
+    mState, aEndpoint, Workload::Online, TokensOf(SizeOf(mContext)));
   const auto now = Clock::now();
   // Without an id, a duplicate answer to an earlier request on the connection
   // could not be recognized.
@@ -541,6 +622,7 @@
       auto& pool = mState.mPools[aEndpoint->mRegistration.mService];
       const std::chrono::duration<double> elapsed = Clock::now() - startedAt;
       UpdateDecayedMean(pool.mMeanSeconds, elapsed.count());
+      RecordTimes(*aEndpoint, pool.mTimes);
     }
   }
   mContext.mCaller->mInterrupt = nullptr;
@@ -578,7 +660,9 @@
   mContext.mAttemptAt = now;
   mContext.mEventsBefore = mContext.mForwardedEvents;
   mContext.mAnswerBegun = false;
+  mContext.mAttemptFirstAt.reset();
   mContext.mLostAt.reset();
+  NoteSentTo(mState, aEndpoint, SizeOf(mContext), now);
   const auto error =
     co_await SendRequest(aConnection, request, SilenceDeadline());
   if (error && !mContext.mCaller->Disconnected()) {
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -57,10 +57,11 @@
 // PlaceRequest for a request that is then sent.
 auto TakeEndpoint(ServingState& aState,
                   ServicePool& aPool,
-                  std::span<const std::string> aTried) -> EndpointPtr
+                  const SlotRequest& aRequest) -> EndpointPtr
 {
   const auto now = Clock::now();
-  auto endpoint = PlaceRequest(aState, aPool, aTried, now);
+  auto endpoint =
+    PlaceRequest(aState, aPool, aRequest.mTried, now, aRequest.mSize);
   if (endpoint) {
     RecordSent(endpoint->mStatements->mLimit, now);
     TakeSlotOf(aPool, *endpoint);
@@ -103,7 +104,7 @@
     const auto nextAt = NextLimitedAt(aState, aPool, Clock::now());
     co_await wakeup.WaitUntil(std::min(deadline(), nextAt));
     if (place.IsFirst()) {
-      endpoint = TakeEndpoint(aState, aPool, aRequest.mTried);
+      endpoint = TakeEndpoint(aState, aPool, aRequest);
     }
   }
   caller.mInterrupt = nullptr;
@@ -232,8 +233,12 @@
     co_return Slot{ nullptr, kNoEndpointRetryAfter };
   }
   auto& pool = found->second;
+  if (ExceedsMemory(aState, aRequest.mService, aRequest.mSize)) {
+    LogNoSlot(aState, aRequest, {});
+    co_return Slot{ nullptr, kMaxReturnDelay };
+  }
   if (pool.mQueue.empty()) {
-    if (auto endpoint = TakeEndpoint(aState, pool, aRequest.mTried)) {
+    if (auto endpoint = TakeEndpoint(aState, pool, aRequest)) {
       co_return Slot{ std::move(endpoint), {} };
     }
   }
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -27,6 +27,7 @@
   // Assumed time for which a request holds a slot, until it has been measured.
   Duration mTypicalRunTime;
   TimePoint mWaitDeadline;
+  RequestSize mSize;
 };
 
 struct Slot
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -1,5 +1,6 @@
 // Placement of online requests and batch items on the endpoints of a service,
-// by the load from this host and its peers.
+// by the load from this host and its peers and, where endpoints state it, by
+// the speed of their machines.
 //
 // Engines run a fixed number of requests at once, admit in order of arrival and
 // have no priorities. So online requests may take any slot that is not held by
@@ -25,6 +26,10 @@
   double mBatch = 0;     // batch items of all hosts
   double mUnseen = 0;    // reported requests beyond these two
   double mSlowStart = 1; // usable share of its slots, in (0, 1]
+  // Expected time of the request there, relative to a usual endpoint; 0: the
+  // endpoint has not stated its speed. If no candidate has, free slots alone
+  // decide; otherwise, those without count as usual.
+  double mRelativeTime = 0;
 };
 
 struct PlacementPolicy
@@ -44,14 +49,33 @@
   // with one each, but hosts that decide on the same load reports must not all
   // choose the same endpoint.
   double mFreeSlotPower = 2;
+  // The remaining members apply where endpoints state their speed.
+  //
+  // Online requests that other hosts are expected to place in the own domain
+  // before this host learns of them.
+  double mUnseenPlacements = 2;
+  // An endpoint of another domain is used before the own domain is full if the
+  // request takes this many times as long in the own one, and it has more free
+  // slots than the margin. Work factors and load from there are older, and
+  // bytes between domains cost more.
+  double mOtherDomainTimeRatio = 1.5;
+  double mEarlyOtherDomainMargin = 2;
 };
 
 // Slots that online requests can use once batch items are preempted; negative
 // if online requests wait at the endpoint.
 auto ReclaimableSlots(const PlacementCandidate& aCandidate) -> double;
 
+// Whether the endpoint has a slot that neither an online request nor a batch
+// item holds.
+auto HasRoom(const PlacementCandidate& aCandidate) -> bool;
+
 // Index of the endpoint for an online request; nullopt if online requests hold
 // all slots. aExcluded has the candidates at which the request has failed.
+// Where endpoints state their speed, the free slots of each are divided by its
+// relative time, and the expected placements of all hosts fill up the highest
+// of these numbers first: the choice is random in proportion to what each
+// endpoint gets of them.
 auto PlaceOnline(std::span<const PlacementCandidate> aCandidates,
                  std::span<const std::size_t> aExcluded,
                  const PlacementPolicy& aPolicy,
@@ -63,6 +87,25 @@
                      const PlacementPolicy& aPolicy,
                      Random& aRandom) -> std::optional<std::size_t>;
 
+// Whether an endpoint of another domain should be preferred to the free slots
+// of the own one, given the mean relative time of the choice there.
+auto MayLeaveDomainEarly(double aOwnTime, const PlacementPolicy& aPolicy)
+  -> bool;
+
+// Mean relative time of PlaceOnFreeSlot's choice; nullopt if there is none or
+// no endpoint states its speed.
+auto MeanTimeOnFreeSlot(std::span<const PlacementCandidate> aCandidates,
+                        const PlacementPolicy& aPolicy)
+  -> std::optional<double>;
+
+// An endpoint of another domain that is clearly faster than aOwnTime, the mean
+// relative time of a choice in the own domain; nullopt if there is none.
+auto PlaceEarlyInOtherDomain(std::span<const PlacementCandidate> aCandidates,
+                             std::span<const std::size_t> aExcluded,
+                             double aOwnTime,
+                             const PlacementPolicy& aPolicy,
+                             Random& aRandom) -> std::optional<std::size_t>;
+
 enum class BatchUrgency
 {
   OnTime,
--- a/mangovalve/serving/document.h
+++ b/mangovalve/serving/document.h
@@ -52,6 +52,8 @@
   int mPriority = 0;       // 0 is the highest
   bool mPublic = false;    // no key needed; not for batch
   bool mResumable = false; // streams only
+  // Endpoints that keep leading parts of a prompt are preferred.
+  bool mSticky = false;
   // Batch only. Both times count from the first submission of a job.
   std::chrono::milliseconds mDue{ 0 };          // until items should be done
   std::chrono::milliseconds mAbandonAfter{ 0 }; // until items are given up
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include "mangovalve/base/decayed_mean.h"
 #include "mangovalve/base/id.h"
 #include "mangovalve/membership/rendezvous.h"
 #include "mangovalve/serving/endpoint_statements.h"
@@ -63,6 +64,14 @@
   return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
 }
 
+// Key of the endpoint's incarnation in PrefixAffinity.
+auto KeptHash(const Endpoint& aEndpoint) -> std::uint64_t
+{
+  return StableHash(
+    aEndpoint.mRegistration.mId,
+    static_cast<std::uint64_t>(aEndpoint.mRegistration.mStartedMs));
+}
+
 // Adds or updates the endpoint of a registration.
 auto SyncEndpoint(ServingState& aState,
                   const Registration& aRegistration,
@@ -76,6 +85,11 @@
       endpoint->mRegistration.mStartedMs != aRegistration.mStartedMs) {
     endpoint->mHealth = Health{};
     endpoint->mUnaccountedLoad = 0;
+    ForgetEndpoint(pool.mAffinity, KeptHash(*endpoint));
+    endpoint->mRecord.mWorkFactor = {};
+    endpoint->mRecord.mRunning.reset();
+    endpoint->mRecord.mWaiting.reset();
+    endpoint->mRecord.mSlots.reset();
   }
   if (!endpoint) {
     endpoint = std::make_shared<Endpoint>();
@@ -100,8 +114,9 @@
 
 auto RemoveMissingEndpoints(ServingState& aState) -> void
 {
-  for (auto& [name, pool] : aState.mPools) {
+  for (auto& [name, entry] : aState.mPools) {
     const auto& service = name;
+    auto& pool = entry;
     auto& byId = pool.mById;
     std::erase_if(pool.mEndpoints, [&](const EndpointPtr& aEndpoint) {
       const auto& id = aEndpoint->mRegistration.mId;
@@ -111,6 +126,7 @@
       if (missing) {
         aEndpoint->mRemoved = true;
         byId.erase(id);
+        ForgetEndpoint(pool.mAffinity, KeptHash(*aEndpoint));
         aState.mPool.CloseIdleConnections(aEndpoint->mRegistration.mAddress);
         LogEvent(Severity::Info, "endpoint_removed", { { "endpoint", id } });
       }
@@ -119,6 +135,16 @@
   }
 }
 
+auto IndexByHash(ServingState& aState) -> void
+{
+  aState.mEndpointOfHash.clear();
+  for (const auto& [service, pool] : aState.mPools) {
+    for (const auto& endpoint : pool.mEndpoints) {
+      aState.mEndpointOfHash[endpoint->mHash] = endpoint;
+    }
+  }
+}
+
 // Resets what all rates know about the admissions that a host reported.
 auto ResetBaselines(ServingState& aState, const std::string& aHost) -> void
 {
@@ -150,6 +176,10 @@
 // the interval of the peers' reports.
 constexpr auto kOwnShareInterval = std::chrono::milliseconds(80);
 
+// Mean time for which a request that a peer has placed remains unknown here:
+// half the interval of its reports, and their transport.
+constexpr double kUnseenSeconds = 0.05;
+
 // Usual age of a summary when the next one arrives.
 constexpr auto kOtherShareInterval = std::chrono::milliseconds(300);
 
@@ -245,9 +275,242 @@
   const auto others = DomainArrivals(aState.mFleet, aState.mDomain, service);
   RenewShare(
     share, free, { own, others, kOwnShareInterval }, aNow, aState.mRandom);
+  aPool.mUnseenPlacements = others * kUnseenSeconds;
   return share;
 }
 
+// Memory of the service's endpoints in tokens; 0: undeclared.
+auto MemoryTokens(const ServingState& aState, const std::string& aService)
+  -> std::uint64_t
+{
+  if (!aState.mDocument) {
+    return 0;
+  }
+  const auto service = aState.mDocument->mServices.find(aService);
+  return service == aState.mDocument->mServices.end()
+           ? 0
+           : service->second.mMemoryTokens;
+}
+
+// Memory assumed for endpoints that declare none, when kept parts of prompts
+// are looked up.
+constexpr double kAssumedMemoryTokens = 100000;
+
+// What the placement of one request takes into account for every candidate.
+struct SizedRequest
+{
+  const RequestSize& mSize;
+  std::uint64_t mMemoryTokens = 0;
+  std::vector<KeptTokens> mKept;
+};
+
+auto SizedRequestOf(const ServingState& aState,
+                    const ServicePool& aPool,
+                    const RequestSize& aSize) -> SizedRequest
+{
+  const auto& service = aPool.mEndpoints[0]->mRegistration.mService;
+  SizedRequest request{ aSize, MemoryTokens(aState, service), {} };
+  if (!aSize.mSharedParts.empty()) {
+    const auto memory = request.mMemoryTokens > 0
+                          ? static_cast<double>(request.mMemoryTokens)
+                          : kAssumedMemoryTokens;
+    request.mKept = FindKept(
+      aPool.mAffinity, aSize.mSharedParts, aSize.mSharedPartTokens, memory);
+  }
+  return request;
+}
+
+auto ConditionsOf(const Endpoint& aEndpoint,
+                  std::span<const KeptTokens> aKept,
+                  TimePoint aNow) -> EndpointConditions
+{
+  EndpointConditions conditions;
+  conditions.mWorkFactor =
+    CurrentWorkFactor(aEndpoint.mRecord.mWorkFactor, aNow);
+  if (!aKept.empty()) {
+    const auto hash = KeptHash(aEndpoint);
+    for (const auto& kept : aKept) {
+      conditions.mKeptTokens =
+        kept.mEndpoint == hash ? kept.mTokens : conditions.mKeptTokens;
+    }
+  }
+  return conditions;
+}
+
+// Applies the request's size to the candidates, which belong to aEndpoints in
+// the same order.
+auto ApplySize(std::vector<PlacementCandidate>& aCandidates,
+               std::span<const EndpointPtr> aEndpoints,
+               const ServicePool& aPool,
+               const SizedRequest& aRequest,
+               TimePoint aNow) -> void
+{
+  const auto timed = !aRequest.mKept.empty() ||
+                     std::any_of(aCandidates.begin(),
+                                 aCandidates.end(),
+                                 [](const PlacementCandidate& aCandidate) {
+                                   return aCandidate.mRelativeTime > 0;
+                                 });
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    auto& candidate = aCandidates[i];
+    const auto& endpoint = *aEndpoints[i];
+    candidate.mUsable =
+      candidate.mUsable &&
+      FitsMemory(endpoint.mRecord,
+                 aPool.mTimes,
+                 candidate.mOnline + candidate.mBatch + candidate.mUnseen,
+                 aRequest.mMemoryTokens,
+                 aRequest.mSize);
+    if (timed && candidate.mUsable) {
+      candidate.mRelativeTime =
+        RelativeTime(aPool.mTimes,
+                     ConditionsOf(endpoint, aRequest.mKept, aNow),
+                     aRequest.mSize);
+    }
+  }
+}
+
+// Candidates of all domains for one request, with those at which it must not be
+// placed.
+struct FleetCandidates
+{
+  std::vector<PlacementCandidate> mCandidates; // as ServicePool::mEndpoints
+  std::vector<std::size_t> mExcluded;
+};
+
+auto FleetCandidatesOf(ServingState& aState,
+                       ServicePool& aPool,
+                       std::span<const std::string> aTried,
+                       const SizedRequest& aRequest,
+                       TimePoint aNow) -> FleetCandidates
+{
+  FleetCandidates fleet;
+  fleet.mCandidates = Candidates(aState, aPool, LimitedUse::Needed, aNow);
+  RenewOtherShares(aState, aPool, fleet.mCandidates);
+  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
+    const auto& endpoint = *aPool.mEndpoints[i];
+    const auto share = aPool.mShares.find(endpoint.mRegistration.mDomain);
+    // Unhealthy endpoints are candidates only if there are no others.
+    const auto used = share != aPool.mShares.end() &&
+                      !MayTakeSlot(share->second) &&
+                      IsAvailable(aState, endpoint, aNow);
+    if (used || IsIn(aTried, endpoint.mRegistration.mId)) {
+      fleet.mExcluded.push_back(i);
+    }
+  }
+  ApplySize(fleet.mCandidates, aPool.mEndpoints, aPool, aRequest, aNow);
+  return fleet;
+}
+
+// Excludes the endpoints with limits: requests that have a free slot elsewhere
+// leave the limits to those that have not.
+auto ExcludeLimited(FleetCandidates& aFleet, const ServicePool& aPool) -> void
+{
+  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
+    if (IsLimited(aPool.mEndpoints[i]->mStatements->mLimit)) {
+      aFleet.mExcluded.push_back(i);
+    }
+  }
+}
+
+// Number of endpoints whose work factor is sent with one load report, and with
+// one summary to another domain, where bytes are dear.
+constexpr std::size_t kMaxReportedSpeeds = 64;
+constexpr std::size_t kMaxSummarySpeeds = 32;
+
+// Statements older than this are not passed on.
+constexpr auto kMaxSpeedAge = std::chrono::seconds(1);
+
+// Work factors within this ratio of 1 are not sent to other domains.
+constexpr double kClearRatio = 1.25;
+
+// A work factor that this host knows and that is newer than this is not
+// replaced by its absence from a summary.
+constexpr auto kSummaryDelay = std::chrono::milliseconds(500);
+
+auto AgeMillis(TimePoint aAt, TimePoint aNow) -> std::uint32_t
+{
+  const auto age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aAt).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
+}
+
+auto OwnSpeeds(const ServingState& aState, TimePoint aNow)
+  -> std::vector<wire::EndpointSpeed>
+{
+  std::vector<wire::EndpointSpeed> speeds;
+  for (const auto& [hash, endpoint] : aState.mEndpointOfHash) {
+    const auto& factor = endpoint->mRecord.mWorkFactor;
+    if (factor.mOwnStatedAt != TimePoint{} &&
+        factor.mOwnStatedAt >= aNow - kMaxSpeedAge &&
+        speeds.size() < kMaxReportedSpeeds) {
+      speeds.emplace_back(hash,
+                          static_cast<float>(factor.mOwnStated),
+                          AgeMillis(factor.mOwnStatedAt, aNow));
+    }
+  }
+  return speeds;
+}
+
+// The endpoints of the own domain whose work factor differs clearly from 1, the
+// slowest first.
+auto DomainSpeeds(const ServingState& aState, TimePoint aNow)
+  -> std::vector<wire::EndpointSpeed>
+{
+  std::vector<wire::EndpointSpeed> speeds;
+  for (const auto& [hash, endpoint] : aState.mEndpointOfHash) {
+    const auto& factor = endpoint->mRecord.mWorkFactor;
+    const auto current = CurrentWorkFactor(factor, aNow);
+    const auto clear = current > kClearRatio || current < 1 / kClearRatio;
+    if (endpoint->mOwnDomain && clear) {
+      speeds.emplace_back(
+        hash, static_cast<float>(current), AgeMillis(factor.mAt, aNow));
+    }
+  }
+  std::sort(
+    speeds.begin(),
+    speeds.end(),
+    [](const wire::EndpointSpeed& aLeft, const wire::EndpointSpeed& aRight) {
+      return aLeft.work_factor() > aRight.work_factor();
+    });
+  speeds.resize(std::min(speeds.size(), kMaxSummarySpeeds));
+  return speeds;
+}
+
+auto ApplySpeeds(ServingState& aState,
+                 std::span<const wire::EndpointSpeed> aSpeeds,
+                 TimePoint aNow) -> void
+{
+  for (const auto& speed : aSpeeds) {
+    const auto found = aState.mEndpointOfHash.find(speed.endpoint());
+    const auto age = std::chrono::milliseconds(speed.age_ms());
+    if (found != aState.mEndpointOfHash.end() &&
+        age <= std::chrono::seconds(10)) {
+      NoteWorkFactor(
+        found->second->mRecord.mWorkFactor, speed.work_factor(), aNow - age);
+    }
+  }
+}
+
+// Endpoints of a domain that its summary does not list work as usual.
+auto ApplyUsualSpeeds(ServingState& aState,
+                      std::span<const wire::EndpointSpeed> aListed,
+                      const std::string& aDomain,
+                      TimePoint aNow) -> void
+{
+  for (const auto& [hash, endpoint] : aState.mEndpointOfHash) {
+    auto& factor = endpoint->mRecord.mWorkFactor;
+    const auto isListed =
+      std::any_of(aListed.begin(), aListed.end(), [&](const auto& aSpeed) {
+        return aSpeed.endpoint() == endpoint->mHash;
+      });
+    if (!isListed && endpoint->mRegistration.mDomain == aDomain &&
+        IsKnown(factor, aNow) && factor.mAt < aNow - kSummaryDelay) {
+      NoteWorkFactor(factor, 1, aNow);
+    }
+  }
+}
+
 } // namespace
 
 auto ActivateDocument(ServingState& aState,
@@ -286,6 +549,7 @@
       SyncEndpoint(aState, entry.mRegistration, aNow);
     }
     ForgetStatements(aState, aNow);
+    IndexByHash(aState);
     aState.mSyncedRevision = aState.mDirectory.mRevision;
   }
   for (auto& [service, pool] : aState.mPools) {
@@ -354,18 +618,26 @@
   candidate.mUnseen = UnaccountedLoad(aEndpoint, aNow);
   candidate.mSlowStart =
     SlowStartShare(aEndpoint.mHealth, aState.mHealth, aNow);
+  const auto& factor = aEndpoint.mRecord.mWorkFactor;
+  candidate.mRelativeTime =
+    IsKnown(factor, aNow) ? CurrentWorkFactor(factor, aNow) : 0;
   return candidate;
 }
 
 auto PlaceRequest(ServingState& aState,
                   ServicePool& aPool,
                   std::span<const std::string> aTried,
-                  TimePoint aNow) -> EndpointPtr
+                  TimePoint aNow,
+                  const RequestSize& aSize) -> EndpointPtr
 {
   if (aPool.mEndpoints.empty()) {
     return nullptr;
   }
+  const auto request = SizedRequestOf(aState, aPool, aSize);
   const auto mayUseOwn = MayTakeSlot(RenewOwnShare(aState, aPool, aNow));
+  auto policy = aState.mPlacement;
+  policy.mUnseenPlacements =
+    std::max(policy.mUnseenPlacements, aPool.mUnseenPlacements);
   std::vector<PlacementCandidate> near;
   std::vector<EndpointPtr> nearEndpoints;
   for (const auto& endpoint : aPool.mEndpoints) {
@@ -375,29 +647,85 @@
       nearEndpoints.push_back(endpoint);
     }
   }
-  if (const auto place =
-        PlaceOnFreeSlot(near, aState.mPlacement, aState.mRandom)) {
+  ApplySize(near, nearEndpoints, aPool, request, aNow);
+  std::optional<FleetCandidates> fleet;
+  const auto ownTime = MeanTimeOnFreeSlot(near, policy);
+  if (ownTime && MayLeaveDomainEarly(*ownTime, policy)) {
+    fleet = FleetCandidatesOf(aState, aPool, aTried, request, aNow);
+    auto unlimited = *fleet;
+    ExcludeLimited(unlimited, aPool);
+    if (const auto place = PlaceEarlyInOtherDomain(unlimited.mCandidates,
+                                                   unlimited.mExcluded,
+                                                   *ownTime,
+                                                   policy,
+                                                   aState.mRandom)) {
+      return aPool.mEndpoints[*place];
+    }
+  }
+  if (const auto place = PlaceOnFreeSlot(near, policy, aState.mRandom)) {
     return nearEndpoints[*place];
   }
-  const auto candidates = Candidates(aState, aPool, LimitedUse::Needed, aNow);
-  RenewOtherShares(aState, aPool, candidates);
-  std::vector<std::size_t> excluded;
-  for (std::size_t i = 0; i < aPool.mEndpoints.size(); ++i) {
-    const auto& endpoint = *aPool.mEndpoints[i];
-    const auto share = aPool.mShares.find(endpoint.mRegistration.mDomain);
-    // Unhealthy endpoints are candidates only if there are no others.
-    const auto used = share != aPool.mShares.end() &&
-                      !MayTakeSlot(share->second) &&
-                      IsAvailable(aState, endpoint, aNow);
-    if (used || IsIn(aTried, endpoint.mRegistration.mId)) {
-      excluded.push_back(i);
-    }
+  if (!fleet) {
+    fleet = FleetCandidatesOf(aState, aPool, aTried, request, aNow);
   }
   const auto place =
-    PlaceOnline(candidates, excluded, aState.mPlacement, aState.mRandom);
+    PlaceOnline(fleet->mCandidates, fleet->mExcluded, policy, aState.mRandom);
   return place ? aPool.mEndpoints[*place] : nullptr;
 }
 
+auto ExceedsMemory(const ServingState& aState,
+                   const std::string& aService,
+                   const RequestSize& aSize) -> bool
+{
+  const auto memory = MemoryTokens(aState, aService);
+  return memory > 0 && TokensOf(aSize) > memory;
+}
+
+auto InputsOf(const ServingState& aState,
+              const Endpoint& aEndpoint,
+              const RequestSize& aSize,
+              TimePoint aNow) -> PlacementInputs
+{
+  PlacementInputs inputs;
+  const auto found = aState.mPools.find(aEndpoint.mRegistration.mService);
+  if (found == aState.mPools.end() || found->second.mEndpoints.empty()) {
+    return inputs;
+  }
+  const auto& pool = found->second;
+  const auto request = SizedRequestOf(aState, pool, aSize);
+  const auto conditions = ConditionsOf(aEndpoint, request.mKept, aNow);
+  const auto& factor = aEndpoint.mRecord.mWorkFactor;
+  if (IsKnown(factor, aNow)) {
+    inputs.mWorkFactor = conditions.mWorkFactor;
+    inputs.mFactorAge = aNow - factor.mAt;
+  }
+  inputs.mFirstEventMs = ExpectedFirstEvent(pool.mTimes, conditions, aSize);
+  inputs.mSavedMs = SavedMillis(pool.mTimes, conditions);
+  inputs.mKeptTokens = conditions.mKeptTokens;
+  return inputs;
+}
+
+auto NoteSentTo(ServingState& aState,
+                const Endpoint& aEndpoint,
+                const RequestSize& aSize,
+                TimePoint aNow) -> void
+{
+  auto& pool = aState.mPools[aEndpoint.mRegistration.mService];
+  const auto tokens = static_cast<double>(TokensOf(aSize));
+  if (tokens > 0) {
+    UpdateDecayedMean(pool.mTimes.mTokens, tokens);
+  }
+  if (!aSize.mSharedParts.empty()) {
+    // The other hosts are assumed to send requests of the same size.
+    const auto own = std::max(0.1, ArrivalsPerSecond(pool.mArrivals, aNow));
+    const auto others = pool.mUnseenPlacements / kUnseenSeconds;
+    NotePrefixSent(pool.mAffinity,
+                   KeptHash(aEndpoint),
+                   aSize.mSharedParts,
+                   tokens * (own + others) / own);
+  }
+}
+
 auto EndsBeforeExit(const ServingState& aState, TimePoint aDeadline) -> bool
 {
   return !aState.mAnswerBy || aDeadline <= *aState.mAnswerBy;
@@ -445,17 +773,23 @@
 
 ScopedInFlight::ScopedInFlight(ServingState& aState,
                                EndpointPtr aEndpoint,
-                               Workload aWork)
+                               Workload aWork,
+                               std::uint64_t aTokens)
   : mState(aState)
   , mEndpoint(std::move(aEndpoint))
   , mWork(aWork)
+  , mTokens(aTokens)
 {
   ++Count();
+  mEndpoint->mRecord.mSized += mTokens > 0 ? 1 : 0;
+  mEndpoint->mRecord.mSizedTokens += mTokens;
 }
 
 ScopedInFlight::~ScopedInFlight()
 {
   --Count();
+  mEndpoint->mRecord.mSized -= mTokens > 0 ? 1 : 0;
+  mEndpoint->mRecord.mSizedTokens -= mTokens;
   const auto pool = mState.mPools.find(mEndpoint->mRegistration.mService);
   if (pool != mState.mPools.end()) {
     if (mWork == Workload::Online) {
@@ -528,6 +862,20 @@
                         Endpoint& aEndpoint,
                         const ReportedLoad& aLoad) -> void
 {
+  const auto now = Clock::now();
+  auto& record = aEndpoint.mRecord;
+  const auto note = [now](std::optional<StatedFigure>& aFigure,
+                          const std::optional<std::uint32_t>& aStated) {
+    if (aStated) {
+      aFigure = StatedFigure{ *aStated, now };
+    }
+  };
+  note(record.mRunning, aLoad.mRunning);
+  note(record.mWaiting, aLoad.mWaiting);
+  note(record.mSlots, aLoad.mSlots);
+  if (aLoad.mWorkFactor) {
+    NoteOwnWorkFactor(record.mWorkFactor, *aLoad.mWorkFactor, now);
+  }
   const auto total = TotalInFlight(aState, aEndpoint);
   const auto known = static_cast<double>(total.mOnline + total.mBatch);
   if (!aLoad.mRunning || !aLoad.mWaiting) {
@@ -536,7 +884,7 @@
   const auto reported =
     static_cast<double>(*aLoad.mRunning) + static_cast<double>(*aLoad.mWaiting);
   aEndpoint.mUnaccountedLoad = std::max(0.0, reported - known);
-  aEndpoint.mUnaccountedLoadAt = Clock::now();
+  aEndpoint.mUnaccountedLoadAt = now;
 }
 
 auto ApplyPeerReport(ServingState& aState,
@@ -557,6 +905,7 @@
   }
   ApplyLimits(
     aState, aState.mFleet.mPeers[host].mLast.limits, aState.mDomain, aNow);
+  ApplySpeeds(aState, aState.mFleet.mPeers[host].mLast.speeds, aNow);
   ApplyPeerEvidence(aState, evidence.get(), host, aNow);
   const auto& report = aState.mFleet.mPeers[host].mLast;
   const auto startedLater = report.incarnation > aOwnIncarnation;
@@ -598,6 +947,8 @@
   }
   const auto& summary = aState.mFleet.mDomains[name].mLast;
   ApplyLimits(aState, summary.limits, name, aNow);
+  ApplySpeeds(aState, summary.speeds, aNow);
+  ApplyUsualSpeeds(aState, summary.speeds, name, aNow);
   ApplyPeerEvidence(aState, evidence.get(), summary.host, aNow);
   const auto newSender = result == SummaryResult::NewSender;
   if (newSender) {
@@ -669,6 +1020,7 @@
   report.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   report.limits = LimitsForReport(aState, aNow);
+  report.speeds = OwnSpeeds(aState, aNow);
   return report;
 }
 
@@ -680,6 +1032,7 @@
   summary.evidence =
     EvidenceToSend(aState.mSuspectExchange, aState.mSuspects, aNow);
   summary.limits = LimitsForSummary(aState, aNow);
+  summary.speeds = DomainSpeeds(aState, aNow);
   for (const auto& [hash, rate] : aState.mRateOfHash) {
     if (rate->mRate > 0 &&
         rate->mDomainChangedAt > aNow - kAdmissionReportDuration) {
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -18,9 +18,11 @@
 #include "mangovalve/routing/crash_suspects.h"
 #include "mangovalve/routing/demand_cycle.h"
 #include "mangovalve/routing/endpoint_activity.h"
+#include "mangovalve/routing/endpoint_estimate.h"
 #include "mangovalve/routing/endpoint_limit.h"
 #include "mangovalve/routing/health.h"
 #include "mangovalve/routing/placement.h"
+#include "mangovalve/routing/prefix_affinity.h"
 #include "mangovalve/routing/slot_share.h"
 #include "mangovalve/serving/document.h"
 #include "mangovalve/serving/endpoint_directory.h"
@@ -65,6 +67,7 @@
   // account for, and when it reported them. The value decays with time.
   double mUnaccountedLoad = 0;
   TimePoint mUnaccountedLoadAt{};
+  EndpointRecord mRecord; // of this incarnation
   bool mRemoved = false;
 };
 
@@ -95,10 +98,15 @@
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
-  ArrivalRate mArrivals;                    // of online requests at this host
-  DemandCycle mDemand;                      // of all hosts
+  ArrivalRate mArrivals; // of online requests at this host
+  DemandCycle mDemand;   // of all hosts
   // By failure domain; none for domains of which nothing is reported.
   std::map<std::string, SlotShare> mShares;
+  ServiceTimes mTimes;
+  PrefixAffinity mAffinity;
+  // Arrivals at the other hosts of the own domain within about the age of their
+  // reports; renewed with this host's share.
+  double mUnseenPlacements = 0;
 };
 
 // Answers that this daemon keeps at the same time until they are complete.
@@ -122,6 +130,8 @@
   std::uint64_t mSyncedRevision = 0; // of mDirectory, as applied to mPools
   FleetLoad mFleet;
   std::map<std::string, ServicePool> mPools; // by service
+  // Endpoints of all pools by Endpoint::mHash.
+  absl::flat_hash_map<std::uint64_t, EndpointPtr> mEndpointOfHash;
   // By hash of an endpoint's id and start. Has the statements of all endpoints
   // in mPools, and of former ones that still bind this host.
   absl::flat_hash_map<std::uint64_t, EndpointStatementsPtr> mStatements;
@@ -203,12 +213,41 @@
 // Endpoint for an online request, outside the ids in aTried; null if online
 // requests hold all slots, or the endpoints' limits allow no request now. The
 // caller calls RecordSent for it before it decides about another request. Other
-// domains are examined only if no endpoint of the own domain has a free slot.
-// Renews this host's shares of the free slots, but takes none from them.
+// domains are examined only if no endpoint of the own domain has a free slot or
+// its endpoints are clearly slower than usual. Endpoints whose free memory the
+// request does not fit are left out. Renews this host's shares of the free
+// slots, but takes none from them.
 auto PlaceRequest(ServingState& aState,
                   ServicePool& aPool,
                   std::span<const std::string> aTried,
-                  TimePoint aNow) -> EndpointPtr;
+                  TimePoint aNow,
+                  const RequestSize& aSize = {}) -> EndpointPtr;
+
+// Whether the request exceeds the whole memory of each endpoint of the service.
+auto ExceedsMemory(const ServingState& aState,
+                   const std::string& aService,
+                   const RequestSize& aSize) -> bool;
+
+// What a placement was based on, for the log.
+struct PlacementInputs
+{
+  std::optional<double> mWorkFactor; // nullopt: not stated
+  Duration mFactorAge{};
+  double mFirstEventMs = 0; // expected; 0: unknown
+  double mSavedMs = 0;
+  std::uint32_t mKeptTokens = 0; // of the prompt, at the endpoint
+};
+
+auto InputsOf(const ServingState& aState,
+              const Endpoint& aEndpoint,
+              const RequestSize& aSize,
+              TimePoint aNow) -> PlacementInputs;
+
+// Records that a request of this size is sent to the endpoint.
+auto NoteSentTo(ServingState& aState,
+                const Endpoint& aEndpoint,
+                const RequestSize& aSize,
+                TimePoint aNow) -> void;
 
 // Records that a request of this host takes a slot of the endpoint.
 auto TakeSlotOf(ServicePool& aPool, const Endpoint& aEndpoint) -> void;
@@ -217,7 +256,11 @@
 class ScopedInFlight
 {
 public:
-  ScopedInFlight(ServingState& aState, EndpointPtr aEndpoint, Workload aWork);
+  // aTokens are those that the request may hold; 0: unknown.
+  ScopedInFlight(ServingState& aState,
+                 EndpointPtr aEndpoint,
+                 Workload aWork,
+                 std::uint64_t aTokens = 0);
   ~ScopedInFlight();
   ScopedInFlight(const ScopedInFlight&) = delete;
   auto operator=(const ScopedInFlight&) -> ScopedInFlight& = delete;
@@ -228,6 +271,7 @@
   ServingState& mState;
   EndpointPtr mEndpoint;
   Workload mWork;
+  std::uint64_t mTokens;
 };
 
 // Idle connections that each of aHosts hosts may keep to an endpoint that
