--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -86,10 +86,11 @@
 // PlaceRequest for a request that is then sent.
 auto TakeEndpoint(ServingState& aState,
                   ServicePool& aPool,
-                  std::span<const std::string> aTried) -> EndpointPtr
+                  const SlotRequest& aRequest) -> EndpointPtr
 {
   const auto now = Clock::now();
-  auto endpoint = PlaceRequest(aState, aPool, aTried, now);
+  auto endpoint =
+    PlaceRequest(aState, aPool, aRequest.mTried, now, aRequest.mSize);
   if (endpoint) {
     RecordSent(endpoint->mStatements->mLimit, now);
     TakeSlotOf(aPool, *endpoint);
@@ -319,7 +320,7 @@
         WakeFirstWaiter(aPool);
       }
     } else if (!yields) {
-      outcome.mEndpoint = TakeEndpoint(aState, aPool, aRequest.mTried);
+      outcome.mEndpoint = TakeEndpoint(aState, aPool, aRequest);
     }
     if (!outcome.mEndpoint && now >= reviewAt) {
       reviewAt = TimePoint::max();
@@ -485,10 +486,16 @@
   auto& pool = found->second;
   auto& requests = pool.mClasses[aRequest.mPriority];
   auto now = Clock::now();
+  if (ExceedsMemory(aState, aRequest.mService, aRequest.mSize)) {
+    Refusal refusal;
+    refusal.mReturn.mAt = now + kMaxReturnDelay;
+    LogNoSlot(aState, aRequest, {}, refusal);
+    co_return Slot{ nullptr, kMaxReturnDelay };
+  }
   RecordArrival(requests.mArrivals, now);
   const auto yields = MustYield(aState, pool, aRequest, now);
   if (pool.mQueue.empty() && !yields) {
-    if (auto endpoint = TakeEndpoint(aState, pool, aRequest.mTried)) {
+    if (auto endpoint = TakeEndpoint(aState, pool, aRequest)) {
       co_return Slot{ std::move(endpoint), {} };
     }
   }
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -34,6 +34,7 @@
   TimePoint mReviewAt = TimePoint::max();
   // When a refused caller must return at the latest.
   TimePoint mReturnBy = TimePoint::max();
+  RequestSize mSize;
 };
 
 struct Slot
