Test the common order of batch items and loads that peers report later

Cause: the hosts' order of batch items and the correction of stated loads had no test of their own. Change: one case in fleet_load_test.cc and one in serving/state_test.cc.

--- a/mangovalve/serving/fleet_load_test.cc
+++ b/mangovalve/serving/fleet_load_test.cc
@@ -2,6 +2,9 @@
 #include "mangovalve/serving/fleet_load.h"
 
 #include <functional>
+#include <map>
+#include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -390,5 +393,49 @@
   CHECK(PeerArrivals(fleet, kService) == 0);
 }
 
+TEST_CASE("the hosts of all domains put their batch items in one order")
+{
+  // Guards against two hosts that preempt for the same online request, or none:
+  // the items before each host must be those of the hosts before it.
+  constexpr std::uint64_t kEndpoint = 7;
+  const std::map<std::string, std::vector<std::string>> domains = {
+    { "a", { "1", "4" } }, { "b", { "2" } }, { "c", { "3", "5" } }
+  };
+  const auto batchOf = [](const std::string& aHost) {
+    return static_cast<std::uint32_t>(std::stoul(aHost));
+  };
+  std::uint32_t expected = 0;
+  for (const auto& [own, hosts] : domains) {
+    for (const auto& self : hosts) {
+      FleetLoad fleet;
+      for (const auto& [domain, others] : domains) {
+        wire::DomainSummaryT summary;
+        summary.host = others.front();
+        summary.domain = domain;
+        summary.incarnation = 1;
+        auto sum = 0U;
+        for (const auto& host : others) {
+          sum += batchOf(host);
+          if (domain == own && host != self) {
+            wire::LoadReportT report;
+            report.host = host;
+            report.domain = own;
+            report.incarnation = 1;
+            report.endpoints.emplace_back(kEndpoint, 0, batchOf(host));
+            CHECK(ApplyReport(fleet, std::move(report), kNow));
+          }
+        }
+        summary.endpoints.emplace_back(kEndpoint, 0, sum);
+        if (domain != own) {
+          CHECK(ApplySummary(fleet, std::move(summary), own, kNow) ==
+                SummaryResult::NewSender);
+        }
+      }
+      CHECK(BatchBefore(fleet, self, own, kEndpoint) == expected);
+      expected += batchOf(self);
+    }
+  }
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -417,5 +417,35 @@
   CHECK_FALSE(EndsBeforeExit(state, now + Duration(1)));
 }
 
+TEST_CASE("requests that peers report after the endpoint has count once")
+{
+  // Guards against batch items that are preempted for online requests that
+  // count twice: in the endpoint's statement, and then in the reports of their
+  // hosts.
+  asio::io_context loop;
+  ServingState state(loop);
+  state.mDomain = "a";
+  mangovalve::Endpoint endpoint;
+  endpoint.mHash = 7;
+  ReportedLoad load;
+  load.mRunning = 5;
+  load.mWaiting = 0;
+  RecordReportedLoad(state, endpoint, load);
+  const auto at = endpoint.mUnaccountedLoadAt;
+  CHECK(UnreportedLoad(state, endpoint, at) == 5);
+  wire::LoadReportT report;
+  report.host = "peer";
+  report.domain = "a";
+  report.incarnation = 1;
+  report.endpoints.emplace_back(endpoint.mHash, 3, 0);
+  CHECK(ApplyReport(state.mFleet, report, at));
+  CHECK(UnreportedLoad(state, endpoint, at) == 2);
+  report.sequence = 1;
+  report.endpoints.clear();
+  report.endpoints.emplace_back(endpoint.mHash, 9, 0);
+  CHECK(ApplyReport(state.mFleet, report, at));
+  CHECK(UnreportedLoad(state, endpoint, at) == 0);
+}
+
 } // namespace
 } // namespace mangovalve
