Take a response with a status below 100 for malformed

Cause: a status below 200 counted as an interim response, so a head with status 000 was skipped and what followed was taken for the response. In the tests, the callers of plain and streaming requests got it as a 200, and a batch item was completed with it; a call over CallOnce returned it. Change: a status below 100 fails the attempt at once, as a malformed head does.

--- a/mangovalve/loop/http_client.cc
+++ b/mangovalve/loop/http_client.cc
@@ -143,6 +143,11 @@
     }
     // As a number, because the library does not know all interim statuses.
     const auto status = aParser->get().result_int();
+    // The parser accepts any three digits. Below 100, there is no class of
+    // statuses, so what follows has no defined meaning either.
+    if (status < static_cast<unsigned>(http::status::continue_)) {
+      break;
+    }
     // No request asks for an upgrade, so this response has no defined meaning.
     if (status == static_cast<unsigned>(http::status::switching_protocols)) {
       break;
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -122,7 +122,8 @@
                  TimePoint aDeadline) -> Task<ErrorCode>;
 
 // Reads the response up to the end of the headers, after any interim responses
-// (1xx), into a new parser in aParser.
+// (1xx), into a new parser in aParser. A status below 100 is the error
+// bad_status.
 auto ReadHead(ClientConnection& aConnection,
               std::optional<ResponseParser>& aParser,
               TimePoint aDeadline) -> Task<ErrorCode>;
--- a/mangovalve/loop/http_client_test.cc
+++ b/mangovalve/loop/http_client_test.cc
@@ -132,6 +132,32 @@
   }
 }
 
+TEST_CASE("a status below 100 is no response")
+{
+  // Guards against a head with the status 000 that counts as an interim one:
+  // the client waited for another head, or took what followed for the answer.
+  for (const auto* status : { "000", "001", "099" }) {
+    CAPTURE(status);
+    asio::io_context loop;
+    RawServer server(
+      loop,
+      [status](
+        RawServer& aServer, Tcp::socket& aSocket, const Request&) -> Task<> {
+        co_await aServer.Send(aSocket,
+                              "HTTP/1.1 " + std::string(status) +
+                                " None\r\n\r\n"
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+                                "ok");
+      });
+    const auto address = FreeAddress();
+    REQUIRE_FALSE(server.Listen(address));
+    ConnectionPool pool(loop);
+    const auto response = Call(loop, pool, address, seconds(20));
+    REQUIRE_FALSE(response);
+    CHECK(response.error() == CallError::NoResponse);
+  }
+}
+
 TEST_CASE("a long line after the last chunk does not end the process")
 {
   // Guards against a trailer that the parser can't hold: it throws, and nothing
