Write the token counts of a test without multiplication

Change: The test has the products as constants. Result: The test cases of endpoint_estimate_test.cc pass.

--- a/mangovalve/routing/endpoint_estimate_test.cc
+++ b/mangovalve/routing/endpoint_estimate_test.cc
@@ -157,9 +157,9 @@
   CHECK_FALSE(FitsMemory(record, times, 7, kMemory, SizeOf(20000, 8300)));
   // Requests of this host count with their own size.
   record.mSized = 5;
-  record.mSizedTokens = 5 * 1000;
+  record.mSizedTokens = 5000;
   CHECK(FitsMemory(record, times, 7, kMemory, SizeOf(100000, 8000)));
-  record.mSizedTokens = 5 * 28000;
+  record.mSizedTokens = 140000;
   CHECK_FALSE(FitsMemory(record, times, 5, kMemory, SizeOf(7000, 300)));
   CHECK(FitsMemory(record, times, 5, kMemory, SizeOf(7000, 200)));
   // Nothing is known of the size or of the memory.
