Bound the memory and connections held for uncontrolled clients

Cause: Each body was bounded, but not all of them together; a header line of 4 bytes took over 100 bytes; the library's limit of a head applied only to what it had not parsed; announced lengths were reserved; connections had no limit; freed bodies stayed in the heap.

Change: One account of the bytes held for others, used by all servers. When it is full, the longest stalled, least progressed upload is answered with 503 and closed, then new ones are refused. Limits come from the machine; settings memory.held_bytes, memory.connections and memory.header_lines. The time limit of a body starts anew with each of its bytes. Large blocks are returned to the system when they are freed.

--- a/daemon/platform/main.cc
+++ b/daemon/platform/main.cc
@@ -10,6 +10,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include <malloc.h>
+
 #include <absl/strings/str_format.h>
 #include <gflags/gflags.h>
 
@@ -80,8 +82,19 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
+// Returns the memory of large bodies to the system as soon as they are freed.
+// By default, the allocator keeps ever larger blocks in its heap after the
+// first ones were freed, and a heap with small blocks between them does not
+// shrink.
+auto LimitHeap() -> void
+{
+  constexpr int kLargeBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+}
+
 auto Run() -> int
 {
+  LimitHeap();
   const auto path = SettingsPath();
   if (path.empty()) {
     absl::FPrintF(stderr,
--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -19,6 +19,7 @@
 #include "mangovalve/base/result.h"
 #include "mangovalve/base/time.h"
 #include "mangovalve/loop/asio.h"
+#include "mangovalve/loop/memory_account.h"
 #include "mangovalve/loop/message_parser.h"
 
 namespace mangovalve {
@@ -138,6 +139,7 @@
 {
   std::size_t mLimit = 0;
   std::size_t mUsed = 0;
+  MemoryAccount* mAccount = nullptr; // that counts them too, unless null
 };
 
 // The bytes of one exchange. The destructor returns them.
@@ -146,6 +148,7 @@
 public:
   explicit BudgetedBytes(ByteBudget& aBudget)
     : mBudget(aBudget)
+    , mHolder(aBudget.mAccount)
   {
   }
   ~BudgetedBytes() { mBudget.mUsed -= mBytes; }
@@ -157,11 +160,17 @@
   {
     mBudget.mUsed = mBudget.mUsed - mBytes + aBytes;
     mBytes = aBytes;
+    // What an endpoint has sent is not refused for the sake of new requests.
+    mHolder.Force(HeldKind::Answers, aBytes);
     return mBudget.mUsed <= mBudget.mLimit;
   }
 
+  // From now on, the account counts the bytes elsewhere.
+  auto PassOn() -> void { mHolder.ReleaseAll(); }
+
 private:
   ByteBudget& mBudget;
+  MemoryHolder mHolder;
   std::size_t mBytes = 0;
 };
 
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -26,6 +26,14 @@
 
 constexpr int kBacklog = 512;
 constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 16UL << 10U;
+
+// Memory of a connection apart from its read buffer: its socket, timer and
+// tasks.
+constexpr std::size_t kConnectionBytes = 2048;
+
+// A request is copied once to be sent to an endpoint.
+constexpr std::size_t kRequestCopies = 2;
 
 auto StatusOf(const ErrorCode& aError) -> http::status
 {
@@ -66,6 +74,48 @@
   }
 }
 
+// Parses what the buffer has; need_more if that is not enough.
+auto ParseBuffered(beast::flat_buffer& aBuffer, RequestParser& aParser)
+  -> ErrorCode
+{
+  if (aBuffer.size() == 0) {
+    return http::error::need_more;
+  }
+  ErrorCode error;
+  aBuffer.consume(aParser.put(aBuffer.data(), error));
+  return error;
+}
+
+// Reads up to aBytes into the buffer of the connection.
+auto ReadMore(beast::tcp_stream& aStream,
+              beast::flat_buffer& aBuffer,
+              std::size_t aBytes) -> Task<ErrorCode>
+{
+  const auto room = aBuffer.max_size() - aBuffer.size();
+  if (room == 0) {
+    co_return ErrorCode(http::error::buffer_overflow);
+  }
+  ErrorCode error;
+  const auto count = co_await aStream.async_read_some(
+    aBuffer.prepare(std::min(aBytes, room)), CaptureError(error));
+  aBuffer.commit(count);
+  co_return error;
+}
+
+// Capacity that a body of aSize bytes needs so that aMore fit, and at most
+// aMost. Doubling it bounds the cost of copies; the library would reserve what
+// the sender announces.
+auto BodyCapacity(const std::string& aBody,
+                  std::size_t aMore,
+                  std::uint64_t aMost) -> std::size_t
+{
+  const auto needed =
+    std::min<std::uint64_t>(aBody.size() + std::uint64_t{ aMore }, aMost);
+  return needed <= aBody.capacity()
+           ? aBody.capacity()
+           : std::max<std::size_t>(needed, 2 * aBody.capacity());
+}
+
 auto HeadText(const ResponseHead& aHead) -> std::string
 {
   std::ostringstream text;
@@ -75,9 +125,12 @@
 
 } // namespace
 
-Caller::Caller(Tcp::socket aSocket)
+Caller::Caller(Tcp::socket aSocket, MemoryAccount* aAccount)
   : mStream(std::move(aSocket))
+  , mHolder(aAccount)
 {
+  mHolder.mProgress.mProgressAt = mAcceptedAt;
+  mHolder.BeConnection([this] { mStream.cancel(); });
   ErrorCode ignored; // without the option, only latency suffers
   mStream.socket().set_option(Tcp::no_delay(true), ignored);
 }
@@ -91,10 +144,12 @@
 
 auto Caller::Write(std::string aBytes) -> Task<bool>
 {
+  mHolder.Force(HeldKind::Output, aBytes.size());
   mStream.expires_at(Clock::now() + kWriteTimeout);
   ErrorCode error;
   co_await asio::async_write(
     mStream, asio::buffer(aBytes), CaptureError(error));
+  mHolder.Force(HeldKind::Output, 0);
   mDisconnected = mDisconnected || error;
   co_return !error;
 }
@@ -112,10 +167,12 @@
   aResponse.version(11);
   aResponse.keep_alive(!EndsConnection());
   aResponse.prepare_payload();
+  mHolder.Force(HeldKind::Output, aResponse.body().size());
   mStream.expires_at(Clock::now() + kWriteTimeout);
   http::response_serializer<http::string_body> serializer(aResponse);
   ErrorCode error;
   co_await http::async_write(mStream, serializer, CaptureError(error));
+  mHolder.Force(HeldKind::Output, 0);
   mDisconnected = mDisconnected || error;
   co_return !error;
 }
@@ -215,8 +272,11 @@
 auto AsyncHttpServer::Admit(Tcp::socket aSocket) -> void
 {
   CallerPtr caller;
+  if (mAccount != nullptr && !mAccount->MakeRoomForConnection()) {
+    return; // closes it
+  }
   try {
-    caller = std::make_shared<Caller>(std::move(aSocket));
+    caller = std::make_shared<Caller>(std::move(aSocket), mAccount);
     caller->mClosing = mClosing;
     mLastAccepted = caller->mAcceptedAt;
     mCallers.insert(caller);
@@ -246,50 +306,26 @@
 
 auto AsyncHttpServer::ServeOne(CallerPtr aCaller) -> Task<bool>
 {
-  const auto limits = mLimits();
   auto& caller = *aCaller;
   auto& stream = caller.mStream;
   ErrorCode error;
   if (caller.mBuffer.size() == 0) {
-    stream.expires_at(Clock::now() + limits.mIdleTimeout);
-    const auto count = co_await stream.async_read_some(
-      caller.mBuffer.prepare(kReadBytes), CaptureError(error));
-    if (error) {
+    stream.expires_at(Clock::now() + mLimits().mIdleTimeout);
+    error = co_await ReadMore(stream, caller.mBuffer, kReadBytes);
+    if (error || caller.mHolder.Evicted()) {
       co_return false;
     }
-    caller.mBuffer.commit(count);
   }
   caller.mPhase = ConnectionPhase::Reading;
-  // Bounds what the parser's own limits leave open, such as trailers.
-  caller.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxBufferBytes);
-  RequestParser parser;
-  parser.header_limit(limits.mMaxHeaderBytes);
-  parser.body_limit(limits.mMaxBodyBytes);
-  stream.expires_at(Clock::now() + limits.mHeaderTimeout);
-  co_await http::async_read_header(
-    stream, caller.mBuffer, parser, CaptureError(error));
-  if (!error && !parser.is_done()) {
-    if (parser.get()[http::field::expect] == "100-continue") {
-      co_await caller.Write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    stream.expires_at(Clock::now() + limits.mIdleTimeout);
-    co_await http::async_read(
-      stream, caller.mBuffer, parser, CaptureError(error));
-  }
-  if (error) {
-    if (IsMalformed(error)) {
-      caller.mLast = true;
-      co_await caller.Reply(Response(StatusOf(error), 11));
-    }
+  auto request = co_await ReadRequest(aCaller);
+  if (!request) {
     co_return false;
   }
   caller.mArrivedAt = Clock::now();
   caller.mPhase = ConnectionPhase::Handling;
   caller.mAnswered = false;
-  caller.mLast = !parser.keep_alive();
   stream.expires_never();
   Spawn(mLoop, WatchForDisconnect(aCaller));
-  auto request = std::make_shared<Request>(parser.release());
   co_await Handle(aCaller, std::move(request));
   caller.mInterrupt = nullptr;
   caller.mPhase = ConnectionPhase::Idle;
@@ -300,9 +336,140 @@
   if (caller.mBuffer.size() == 0) {
     caller.mBuffer.shrink_to_fit();
   }
+  caller.mHolder.ReleaseAll();
+  caller.mHolder.mProgress = { 0, 0, Clock::now(), true };
+  caller.mHolder.SetEvictable(true);
   co_return !caller.mDisconnected && !caller.mLast;
 }
 
+auto AsyncHttpServer::ReadRequest(CallerPtr aCaller)
+  -> Task<std::shared_ptr<Request>>
+{
+  const auto limits = mLimits();
+  auto& caller = *aCaller;
+  auto& holder = caller.mHolder;
+  holder.mProgress.mServed = false;
+  // Bounds what the parser's own limits leave open, such as trailers.
+  caller.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxBufferBytes);
+  std::optional<RequestParser> parser(std::in_place);
+  parser->LimitHead(limits.mMaxHeaderBytes,
+                    mAccount != nullptr ? mAccount->mLimits.mHeaderLines
+                                        : kMaxHeaderLines);
+  parser->body_limit(limits.mMaxBodyBytes);
+  auto error =
+    co_await ReadHead(aCaller, *parser, Clock::now() + limits.mHeaderTimeout);
+  if (!error && !parser->is_done()) {
+    if (parser->get()[http::field::expect] == "100-continue") {
+      co_await caller.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    error = co_await ReadBody(aCaller, *parser, limits);
+  }
+  const auto bodyBytes = parser->get().body().capacity();
+  if (!error &&
+      (!holder.Set(HeldKind::Heads, kRequestCopies * parser->HeadBytes()) ||
+       !holder.Set(HeldKind::Bodies, kRequestCopies * bodyBytes))) {
+    error = asio::error::no_buffer_space;
+  }
+  holder.SetEvictable(false);
+  if (error) {
+    co_await ReplyUnread(aCaller, parser, error);
+    co_return nullptr;
+  }
+  caller.mLast = !parser->keep_alive();
+  co_return std::make_shared<Request>(parser->release());
+}
+
+auto AsyncHttpServer::ReadHead(CallerPtr aCaller,
+                               RequestParser& aParser,
+                               TimePoint aDeadline) -> Task<ErrorCode>
+{
+  auto& caller = *aCaller;
+  auto& holder = caller.mHolder;
+  caller.mStream.expires_at(aDeadline);
+  for (;;) {
+    holder.mProgress.mProgressAt = Clock::now();
+    auto error = ParseBuffered(caller.mBuffer, aParser);
+    holder.mProgress.mReceived = aParser.HeadBytes();
+    if (error != http::error::need_more &&
+        (error || aParser.is_header_done())) {
+      co_return error;
+    }
+    if (!holder.Set(HeldKind::Heads, aParser.HeadBytes()) ||
+        !holder.Set(HeldKind::Connections,
+                    kConnectionBytes + caller.mBuffer.capacity())) {
+      co_return ErrorCode(asio::error::no_buffer_space);
+    }
+    if (error == http::error::need_more) {
+      error = co_await ReadMore(caller.mStream, caller.mBuffer, kReadBytes);
+      if (error) {
+        co_return error;
+      }
+    }
+  }
+}
+
+auto AsyncHttpServer::ReadBody(CallerPtr aCaller,
+                               RequestParser& aParser,
+                               CallerLimits aLimits) -> Task<ErrorCode>
+{
+  auto& caller = *aCaller;
+  auto& holder = caller.mHolder;
+  auto& body = aParser.get().body();
+  aParser.eager(true);
+  if (!holder.Set(HeldKind::Heads, aParser.HeadBytes())) {
+    co_return ErrorCode(asio::error::no_buffer_space);
+  }
+  const auto most =
+    std::min(aParser.content_length().value_or(aLimits.mMaxBodyBytes),
+             aLimits.mMaxBodyBytes);
+  caller.mStream.expires_at(Clock::now() + aLimits.mIdleTimeout);
+  while (!aParser.is_done()) {
+    const auto capacity = BodyCapacity(body, caller.mBuffer.size(), most);
+    if (!holder.Set(HeldKind::Bodies, capacity) ||
+        !holder.Set(HeldKind::Connections,
+                    kConnectionBytes + caller.mBuffer.capacity())) {
+      co_return ErrorCode(asio::error::no_buffer_space);
+    }
+    body.reserve(capacity);
+    const auto size = body.size();
+    auto error = ParseBuffered(caller.mBuffer, aParser);
+    // Only bytes of the body are progress; a sender may pad chunks and trailers
+    // without end.
+    if (body.size() > size) {
+      holder.mProgress.mReceived = aParser.HeadBytes() + body.size();
+      holder.mProgress.mProgressAt = Clock::now();
+      caller.mStream.expires_at(Clock::now() + aLimits.mIdleTimeout);
+    }
+    if (error == http::error::need_more || (!error && !aParser.is_done())) {
+      error = co_await ReadMore(caller.mStream, caller.mBuffer, kBodyReadBytes);
+    }
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return ErrorCode();
+}
+
+auto AsyncHttpServer::ReplyUnread(CallerPtr aCaller,
+                                  std::optional<RequestParser>& aParser,
+                                  ErrorCode aError) -> Task<>
+{
+  const auto full =
+    aCaller->mHolder.Evicted() || aError == asio::error::no_buffer_space;
+  if (!full && !IsMalformed(aError)) {
+    co_return;
+  }
+  auto response = !full     ? Response(StatusOf(aError), 11)
+                  : mRefuse ? mRefuse(aParser->get().base())
+                            : Response(http::status::service_unavailable, 11);
+  // Freed before the response is written, which may take its time.
+  aParser.reset();
+  aCaller->mBuffer = beast::flat_buffer();
+  aCaller->mHolder.ReleaseAll();
+  aCaller->mLast = true;
+  co_await aCaller->Reply(std::move(response));
+}
+
 auto AsyncHttpServer::Handle(CallerPtr aCaller,
                              std::shared_ptr<Request> aRequest) -> Task<>
 {
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -5,12 +5,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/container/flat_hash_set.h>
 
 #include "mangovalve/base/time.h"
 #include "mangovalve/loop/asio.h"
+#include "mangovalve/loop/memory_account.h"
+#include "mangovalve/loop/message_parser.h"
 
 namespace mangovalve {
 
@@ -47,7 +50,8 @@
 class Caller
 {
 public:
-  Caller(Tcp::socket aSocket);
+  // aAccount may be null.
+  explicit Caller(Tcp::socket aSocket, MemoryAccount* aAccount = nullptr);
 
   // The functions that send return false if the caller is unreachable.
 
@@ -77,6 +81,13 @@
   // Whether a response to the current request was begun.
   auto Answered() const -> bool { return mAnswered; }
 
+  // Counts bytes that the handler holds for the request; false if they don't
+  // fit. They are returned after the request.
+  auto Hold(HeldKind aKind, std::size_t aBytes) -> bool
+  {
+    return mHolder.Set(aKind, aBytes);
+  }
+
   // Ends what the handler awaits. Called if the caller disconnects during the
   // request, and by InterruptHandlers. The handler sets it.
   std::function<void()> mInterrupt;
@@ -93,6 +104,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  MemoryHolder mHolder;
   ConnectionPhase mPhase = ConnectionPhase::Opened;
   TimePoint mAcceptedAt = Clock::now();
   bool mDisconnected = false;
@@ -119,6 +131,14 @@
                   RequestHandler aHandler,
                   std::function<auto()->CallerLimits> aLimits);
 
+  // Counts what the connections hold in aAccount, and bounds them by it. Call
+  // it before Listen.
+  auto UseAccount(MemoryAccount& aAccount) -> void { mAccount = &aAccount; }
+
+  // Response to a request that was not handled for lack of memory; 503 without
+  // anything else if empty. The head may be incomplete.
+  std::function<auto(const RequestHead&)->Response> mRefuse;
+
   // Listens on "IP:PORT" and serves until the loop stops.
   auto Listen(const std::string& aAddress) -> ErrorCode;
 
@@ -149,12 +169,25 @@
   auto Serve(CallerPtr aCaller) -> Task<>;
   // Serves one request; returns whether another may follow.
   auto ServeOne(CallerPtr aCaller) -> Task<bool>;
+  // Reads a request; null if it could not be read, and the caller knows.
+  auto ReadRequest(CallerPtr aCaller) -> Task<std::shared_ptr<Request>>;
+  static auto ReadHead(CallerPtr aCaller,
+                       RequestParser& aParser,
+                       TimePoint aDeadline) -> Task<ErrorCode>;
+  static auto ReadBody(CallerPtr aCaller,
+                       RequestParser& aParser,
+                       CallerLimits aLimits) -> Task<ErrorCode>;
+  // Answers what could not be read, as far as an answer is due.
+  auto ReplyUnread(CallerPtr aCaller,
+                   std::optional<RequestParser>& aParser,
+                   ErrorCode aError) -> Task<>;
   auto Handle(CallerPtr aCaller, std::shared_ptr<Request> aRequest) -> Task<>;
   static auto WatchForDisconnect(CallerPtr aCaller) -> Task<>;
 
   asio::io_context& mLoop;
   RequestHandler mHandler;
   std::function<auto()->CallerLimits> mLimits;
+  MemoryAccount* mAccount = nullptr;
   Tcp::acceptor mAcceptor;
   // Every accepted connection, from the moment of its acceptance.
   absl::flat_hash_set<CallerPtr> mCallers;
--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <stdexcept>
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include "mangovalve/loop/http_client.h"
@@ -467,5 +468,126 @@
   CHECK(Escaped() == before + 3);
 }
 
+TEST_CASE("a body that arrives slowly but steadily is served")
+{
+  // Guards against a time limit for the whole body, which a slow sender within
+  // all limits would exceed.
+  ServerUnderTest server;
+  server.mLimits.mIdleTimeout = seconds(2);
+  constexpr std::size_t kBytes = 9;
+  auto socket = server.Connect();
+  asio::write(socket,
+              asio::buffer(absl::StrCat(
+                "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "Content-Length: ",
+                kBytes,
+                "\r\n\r\n")));
+  for (std::size_t i = 0; i < kBytes; ++i) {
+    server.mLoop.run_for(milliseconds(300));
+    ErrorCode error;
+    asio::write(socket, asio::buffer("b", 1), error);
+    REQUIRE_FALSE(error);
+  }
+  CHECK(IsAnswered(server.ReadAll(socket)));
+}
+
+TEST_CASE("a body without progress is closed")
+{
+  // Guards against connections that are held by chunk extensions without a byte
+  // of a body.
+  ServerUnderTest server;
+  server.mLimits.mIdleTimeout = milliseconds(300);
+  auto socket = server.Connect();
+  asio::co_spawn(
+    server.mLoop,
+    [](Tcp::socket& aSocket) -> Task<> {
+      std::string begin = "POST / HTTP/1.1\r\nHost: h\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n1;";
+      ErrorCode error;
+      co_await asio::async_write(
+        aSocket, asio::buffer(begin), CaptureError(error));
+      while (!error) {
+        co_await asio::async_write(
+          aSocket, asio::buffer("x", 1), CaptureError(error));
+        co_await SleepUntil(Clock::now() + milliseconds(20));
+      }
+    }(socket),
+    asio::detached);
+  CHECK(server.ReadAll(socket).empty());
+}
+
+TEST_CASE("a head with too many lines or too many bytes of lines is refused")
+{
+  // Guards against lines that cost many times their size, and against a limit
+  // that applies only to the part of a head that has not been parsed.
+  const auto head = [](std::size_t aLines) {
+    std::string text = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+    for (std::size_t i = 0; i < aLines; ++i) {
+      text += "a:\r\n";
+    }
+    return text + "\r\n";
+  };
+  MemoryAccount account;
+  ServerUnderTest server;
+  server.mServer.UseAccount(account);
+  CHECK(IsAnswered(Exchange(server, head(4000))));
+  CHECK(Exchange(server, head(5000)).starts_with("HTTP/1.1 431"));
+  account.mLimits.mHeaderLines = 100;
+  CHECK(Exchange(server, head(200)).starts_with("HTTP/1.1 431"));
+  CHECK(IsAnswered(Exchange(server, head(90))));
+}
+
+TEST_CASE("a request that does not fit into the memory is answered as not run")
+{
+  // Guards against bodies that exceed the memory, against bytes that stay
+  // counted, and against a handler that runs what is refused.
+  MemoryAccount account;
+  account.mLimits.mHeldBytes = 100'000;
+  ServerUnderTest server;
+  server.mServer.UseAccount(account);
+  const auto post = [](std::size_t aBytes) {
+    return absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                        "Content-Length: ",
+                        aBytes,
+                        "\r\n\r\n",
+                        std::string(aBytes, 'b'));
+  };
+  CHECK(Exchange(server, post(90'000)).starts_with("HTTP/1.1 503"));
+  CHECK(IsAnswered(Exchange(server, post(20'000))));
+  CHECK(account.Held() == 0);
+  CHECK(account.Connections() == 0);
+}
+
+TEST_CASE("a stalled upload makes room for another one")
+{
+  // Guards against uploads that stop short of their end and shut out others.
+  MemoryAccount account;
+  account.mLimits.mHeldBytes = 600'000;
+  ServerUnderTest server;
+  server.mServer.UseAccount(account);
+  const std::string begin = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close"
+                            "\r\nContent-Length: 100000\r\n\r\n";
+  std::vector<Tcp::socket> stalled;
+  for (auto i = 0; i < 4; ++i) {
+    stalled.push_back(server.Connect());
+    asio::write(stalled.back(), asio::buffer(begin + std::string(99'999, 'b')));
+  }
+  const auto deadline = Clock::now() + seconds(20);
+  while (account.HeldOf(HeldKind::Bodies) < 200'000) {
+    REQUIRE(Clock::now() < deadline);
+    server.mLoop.run_for(milliseconds(5));
+  }
+  // Enough for the next upload to be the one that stalled least.
+  server.mLoop.run_for(milliseconds(1100));
+  CHECK(IsAnswered(Exchange(server, begin + std::string(100'000, 'b'))));
+  CHECK(account.Held() <= account.mLimits.mHeldBytes);
+  for (auto& socket : stalled) {
+    ErrorCode ignored; // the server may have closed it
+    socket.close(ignored);
+  }
+  RunUntilEmpty(server);
+  CHECK(account.Held() == 0);
+}
+
 } // namespace
 } // namespace mangovalve
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -796,6 +796,7 @@
   Response response;
   response.base() = mProtocol.mCallerHead(aParser.get().base());
   response.body() = std::move(aParser.get().body());
+  bytes.PassOn();
   co_await mContext.mCaller->Reply(std::move(response));
   co_return StepResult::Done;
 }
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -67,6 +67,14 @@
 // failure, so that they do not end without an answer.
 constexpr auto kAnswerBeforeExit = milliseconds(100);
 
+// Retry delay given to a caller whose request did not fit into the memory. What
+// fills it is evicted within a second or ends with its timeout.
+constexpr auto kMemoryRetryAfter = milliseconds(1000);
+
+// Strings of a submission in memory: as parsed, as items, and as the record for
+// the store.
+constexpr std::size_t kSubmissionCopies = 3;
+
 auto PeerLimits() -> CallerLimits
 {
   CallerLimits limits;
@@ -126,6 +134,12 @@
   mState.mDomain = mSettings.mFailureDomain;
   mState.mRandom.mState = mIncarnation ^ StableHash(mSettings.mName);
   UseSettings();
+  for (auto* server : { &mCallers, &mReadiness, &mPeers, &mOperators }) {
+    server->UseAccount(mState.mMemory);
+  }
+  mCallers.mRefuse = [this](const RequestHead& aHead) {
+    return RefuseForMemory(mProtocol.mReadRequest(aHead));
+  };
 }
 
 auto ServingDaemon::MakeReportPorts() -> ReportPorts
@@ -246,6 +260,18 @@
     Ready() ? http::status::ok : http::status::service_unavailable, 11));
 }
 
+auto ServingDaemon::RefuseForMemory(const RequestMetadata& aMetadata)
+  -> Response
+{
+  if (mState.mMemory.MayLog(Clock::now())) {
+    LogEvent(Severity::Info,
+             "request_refused",
+             { { "id", aMetadata.mId }, { "reason", "memory" } });
+  }
+  return mProtocol.mRefuse(
+    RefusalReason::NotReady, aMetadata.mId, kMemoryRetryAfter);
+}
+
 auto ServingDaemon::HandleCaller(CallerPtr aCaller,
                                  std::shared_ptr<Request> aRequest) -> Task<>
 {
@@ -271,6 +297,13 @@
     co_await HandleJobCall(aCaller, *call, metadata);
     co_return;
   }
+  const auto& body = aRequest->body();
+  if (submission &&
+      !aCaller->Hold(HeldKind::Jobs,
+                     kSubmissionCopies * body.size() + ParsedJsonBytes(body))) {
+    co_await aCaller->Reply(RefuseForMemory(metadata));
+    co_return;
+  }
   if (submission) {
     co_await mJobs.ServeSubmission(
       aCaller, aRequest, admission.mTeam, std::move(metadata));
@@ -608,6 +641,7 @@
     UpdatePeerLiveness(mState, now);
     SampleDemand(mState, now);
     mState.mPool.CloseExpired(now);
+    mState.mMemory.Publish();
     FetchNewerDocument(now);
     WakeFirstWaiterOfEachPool(mState);
     co_await SleepUntil(now + kMaintenanceInterval);
@@ -658,6 +692,18 @@
   mTables.mMaxRecordBytes = mSettings.mMaxRecordBytes;
   mTables.mMaxCallBytes = mSettings.mMaxCallBytes;
   mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
+  auto& limits = mState.mMemory.mLimits;
+  limits = LimitsOfThisMachine();
+  const auto lower = [](std::size_t& aLimit, std::size_t aSetting) {
+    aLimit = aSetting == 0 ? aLimit : std::min(aLimit, aSetting);
+  };
+  lower(limits.mHeldBytes, mSettings.mHeldBytes);
+  lower(limits.mConnections, mSettings.mConnections);
+  if (mSettings.mHeaderLines != 0) {
+    limits.mHeaderLines = mSettings.mHeaderLines;
+  }
+  mState.mAnswerBytes.mLimit =
+    std::min(kMaxAnswerBytesInMemory, limits.mHeldBytes / 2);
 }
 
 auto ServingDaemon::EndRequests(TimePoint aAt) -> Task<>
--- a/mangovalve/serving/daemon.h
+++ b/mangovalve/serving/daemon.h
@@ -60,6 +60,8 @@
 private:
   auto HandleCaller(CallerPtr aCaller, std::shared_ptr<Request> aRequest)
     -> Task<>;
+  // Refuses a request that has not run, because it did not fit into the memory.
+  auto RefuseForMemory(const RequestMetadata& aMetadata) -> Response;
   auto HandleJobCall(CallerPtr aCaller,
                      const JobCall& aCall,
                      const RequestMetadata& aMetadata) -> Task<>;
--- a/mangovalve/serving/settings.cc
+++ b/mangovalve/serving/settings.cc
@@ -121,6 +121,23 @@
     "store.call_bytes", settings.mMaxCallBytes, kMinRecord, kMaxBytes);
   reader.Seconds("shutdown.grace_seconds", settings.mTerminationGrace);
   reader.Seconds("batch.keep_results_seconds", settings.mKeepResults);
+  // Less than one request of the default limits needs would refuse all of them.
+  constexpr double kMinHeldBytes = 16UL << 20U;
+  constexpr double kMaxHeldBytes = 1ULL << 40U;
+  constexpr double kMinConnections = 16;
+  constexpr double kMaxConnections = 1'000'000;
+  constexpr double kMinHeaderLines = 16;
+  constexpr double kMaxHeaderLines = 65'536;
+  reader.Number(
+    "memory.held_bytes", settings.mHeldBytes, kMinHeldBytes, kMaxHeldBytes);
+  reader.Number("memory.connections",
+                settings.mConnections,
+                kMinConnections,
+                kMaxConnections);
+  reader.Number("memory.header_lines",
+                settings.mHeaderLines,
+                kMinHeaderLines,
+                kMaxHeaderLines);
   reader.Text("log.level", settings.mLogLevel, false);
   if (const auto* seeds = table.at_path("seeds").as_array()) {
     for (const auto& seed : *seeds) {
--- a/mangovalve/serving/settings.h
+++ b/mangovalve/serving/settings.h
@@ -29,6 +29,12 @@
   std::chrono::milliseconds mTerminationGrace{ 8000 };
   // How long results can be read, counted from the job's submission.
   std::chrono::milliseconds mKeepResults{ 120000 };
+  // Bytes held for callers, peers and operators, their connections, and the
+  // header lines of one message. 0: derived from the machine, which also bounds
+  // the first two from above; see memory_account.h.
+  std::size_t mHeldBytes = 0;
+  std::size_t mConnections = 0;
+  std::uint32_t mHeaderLines = 0;
   std::string mLogLevel = "info";
 };
 
--- a/mangovalve/serving/settings_test.cc
+++ b/mangovalve/serving/settings_test.cc
@@ -60,6 +60,9 @@
   CHECK(error("name = \"h\"", "").find("host.name") != std::string::npos);
   CHECK(error("grace_seconds = 8", "grace_seconds = -1")
           .find("shutdown.grace_seconds") != std::string::npos);
+  CHECK(
+    error("grace_seconds = 8", "grace_seconds = 8\n[memory]\nheld_bytes = 1000")
+      .find("memory.held_bytes") != std::string::npos);
   CHECK_FALSE(SettingsFile("[host").Read());
   CHECK_FALSE(ReadServingSettings("/nonexistent"));
 }
@@ -75,6 +78,7 @@
   changed.mKeepResults = std::chrono::milliseconds(5000);
   changed.mLogLevel = "warn";
   changed.mMaxCallBytes = 10000;
+  changed.mHeldBytes = 32UL << 20U;
   const auto update = UpdateSettings(current, changed);
   CHECK(update.mNeedRestart.empty());
   CHECK(update.mSettings.mSeeds == changed.mSeeds);
@@ -82,6 +86,7 @@
   CHECK(update.mSettings.mKeepResults == changed.mKeepResults);
   CHECK(update.mSettings.mLogLevel == "warn");
   CHECK(update.mSettings.mMaxCallBytes == 10000);
+  CHECK(update.mSettings.mHeldBytes == 32UL << 20U);
 
   changed.mCallers = "10.0.0.1:9";
   changed.mFailureDomain = "b";
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -95,8 +95,8 @@
   // Callers that were refused because of the endpoints' limits are asked to
   // return one after the other; the last of them then.
   TimePoint mReturnsUntil{};
-  ArrivalRate mArrivals;                    // of online requests at this host
-  DemandCycle mDemand;                      // of all hosts
+  ArrivalRate mArrivals; // of online requests at this host
+  DemandCycle mDemand;   // of all hosts
   // By failure domain; none for domains of which nothing is reported.
   std::map<std::string, SlotShare> mShares;
 };
@@ -110,9 +110,11 @@
     : mLoop(aLoop)
     , mPool(aLoop)
   {
+    mAnswerBytes.mAccount = &mMemory;
   }
 
   asio::io_context& mLoop;
+  MemoryAccount mMemory;
   std::string mHost;   // address of this daemon for its peers
   std::string mDomain; // failure domain of this daemon
   TimePoint mStartedAt = Clock::now();
