Let the holders of memory share the ownership of their account

Cause: an event loop may still own connections when its daemon is destroyed, as in the tests of whole fleets. Their holders then used a destroyed account, and platform/unframed_test hung in ~MemoryHolder. Change: holders, servers and budgets keep a shared pointer to the account.

--- a/mangovalve/loop/http_client.h
+++ b/mangovalve/loop/http_client.h
@@ -140,7 +140,7 @@
 {
   std::size_t mLimit = 0;
   std::size_t mUsed = 0;
-  MemoryAccount* mAccount = nullptr; // that counts them too, unless null
+  MemoryAccountPtr mAccount; // that counts them too, unless null
 };
 
 // The bytes of one exchange. The destructor returns them.
--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -125,7 +125,7 @@
 
 } // namespace
 
-Caller::Caller(Tcp::socket aSocket, MemoryAccount* aAccount)
+Caller::Caller(Tcp::socket aSocket, MemoryAccountPtr aAccount)
   : mStream(std::move(aSocket))
   , mHolder(aAccount)
 {
--- a/mangovalve/loop/http_server.h
+++ b/mangovalve/loop/http_server.h
@@ -51,7 +51,7 @@
 {
 public:
   // aAccount may be null.
-  explicit Caller(Tcp::socket aSocket, MemoryAccount* aAccount = nullptr);
+  explicit Caller(Tcp::socket aSocket, MemoryAccountPtr aAccount = nullptr);
 
   // The functions that send return false if the caller is unreachable.
 
@@ -133,7 +133,10 @@
 
   // Counts what the connections hold in aAccount, and bounds them by it. Call
   // it before Listen.
-  auto UseAccount(MemoryAccount& aAccount) -> void { mAccount = &aAccount; }
+  auto UseAccount(MemoryAccountPtr aAccount) -> void
+  {
+    mAccount = std::move(aAccount);
+  }
 
   // Response to a request that was not handled for lack of memory; 503 without
   // anything else if empty. The head may be incomplete.
@@ -187,7 +190,7 @@
   asio::io_context& mLoop;
   RequestHandler mHandler;
   std::function<auto()->CallerLimits> mLimits;
-  MemoryAccount* mAccount = nullptr;
+  MemoryAccountPtr mAccount;
   Tcp::acceptor mAcceptor;
   // Every accepted connection, from the moment of its acceptance.
   absl::flat_hash_set<CallerPtr> mCallers;
--- a/mangovalve/loop/http_server_test.cc
+++ b/mangovalve/loop/http_server_test.cc
@@ -527,12 +527,12 @@
     }
     return text + "\r\n";
   };
-  MemoryAccount account;
+  const auto account = std::make_shared<MemoryAccount>();
   ServerUnderTest server;
   server.mServer.UseAccount(account);
   CHECK(IsAnswered(Exchange(server, head(4000))));
   CHECK(Exchange(server, head(5000)).starts_with("HTTP/1.1 431"));
-  account.mLimits.mHeaderLines = 100;
+  account->mLimits.mHeaderLines = 100;
   CHECK(Exchange(server, head(200)).starts_with("HTTP/1.1 431"));
   CHECK(IsAnswered(Exchange(server, head(90))));
 }
@@ -541,8 +541,8 @@
 {
   // Guards against bodies that exceed the memory, against bytes that stay
   // counted, and against a handler that runs what is refused.
-  MemoryAccount account;
-  account.mLimits.mHeldBytes = 100'000;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mHeldBytes = 100'000;
   ServerUnderTest server;
   server.mServer.UseAccount(account);
   const auto post = [](std::size_t aBytes) {
@@ -554,15 +554,15 @@
   };
   CHECK(Exchange(server, post(90'000)).starts_with("HTTP/1.1 503"));
   CHECK(IsAnswered(Exchange(server, post(20'000))));
-  CHECK(account.Held() == 0);
-  CHECK(account.Connections() == 0);
+  CHECK(account->Held() == 0);
+  CHECK(account->Connections() == 0);
 }
 
 TEST_CASE("a stalled upload makes room for another one")
 {
   // Guards against uploads that stop short of their end and shut out others.
-  MemoryAccount account;
-  account.mLimits.mHeldBytes = 600'000;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mHeldBytes = 600'000;
   ServerUnderTest server;
   server.mServer.UseAccount(account);
   const std::string begin = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close"
@@ -573,20 +573,20 @@
     asio::write(stalled.back(), asio::buffer(begin + std::string(99'999, 'b')));
   }
   const auto deadline = Clock::now() + seconds(20);
-  while (account.HeldOf(HeldKind::Bodies) < 200'000) {
+  while (account->HeldOf(HeldKind::Bodies) < 200'000) {
     REQUIRE(Clock::now() < deadline);
     server.mLoop.run_for(milliseconds(5));
   }
   // Enough for the next upload to be the one that stalled least.
   server.mLoop.run_for(milliseconds(1100));
   CHECK(IsAnswered(Exchange(server, begin + std::string(100'000, 'b'))));
-  CHECK(account.Held() <= account.mLimits.mHeldBytes);
+  CHECK(account->Held() <= account->mLimits.mHeldBytes);
   for (auto& socket : stalled) {
     ErrorCode ignored; // the server may have closed it
     socket.close(ignored);
   }
   RunUntilEmpty(server);
-  CHECK(account.Held() == 0);
+  CHECK(account->Held() == 0);
 }
 
 } // namespace
--- a/mangovalve/loop/memory_account.h
+++ b/mangovalve/loop/memory_account.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -123,13 +124,16 @@
   std::uint64_t mNotLogged = 0; // events since the last one that was logged
 };
 
+using MemoryAccountPtr = std::shared_ptr<MemoryAccount>;
+
 // The bytes of one connection or exchange; without an account it counts
-// nothing. The destructor returns them.
+// nothing. The destructor returns them, so the holder keeps the account alive:
+// connections of an event loop may outlive the daemon.
 class MemoryHolder
 {
 public:
-  explicit MemoryHolder(MemoryAccount* aAccount)
-    : mAccount(aAccount)
+  explicit MemoryHolder(MemoryAccountPtr aAccount)
+    : mAccount(std::move(aAccount))
   {
   }
   ~MemoryHolder();
@@ -160,7 +164,7 @@
 
   auto Change(HeldKind aKind, std::size_t aBytes) -> void;
 
-  MemoryAccount* mAccount;
+  MemoryAccountPtr mAccount;
   std::array<std::size_t, kHeldKinds> mBytes{};
   std::function<void()> mEvict; // empty unless it is a connection
   bool mIsEvictable = false;
--- a/mangovalve/loop/memory_account_test.cc
+++ b/mangovalve/loop/memory_account_test.cc
@@ -69,33 +69,33 @@
 TEST_CASE("a request that is being handled is never evicted")
 {
   // Guards against ending a request that an endpoint may be running.
-  MemoryAccount account;
-  account.mLimits.mHeldBytes = 4 * kMegaByte;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mHeldBytes = 4 * kMegaByte;
   auto evicted = 0;
-  MemoryHolder running(&account);
+  MemoryHolder running(account);
   running.BeConnection([&] { ++evicted; });
   REQUIRE(running.Set(HeldKind::Bodies, 2 * kMegaByte));
   running.SetEvictable(false);
-  MemoryHolder next(&account);
+  MemoryHolder next(account);
   next.BeConnection([&] { ++evicted; });
   CHECK_FALSE(next.Set(HeldKind::Bodies, 2 * kMegaByte));
   CHECK(evicted == 0);
-  CHECK(account.Held() == 2 * kMegaByte);
-  CHECK(account.Connections() == 2);
+  CHECK(account->Held() == 2 * kMegaByte);
+  CHECK(account->Connections() == 2);
 }
 
 TEST_CASE("bodies leave room for heads, and an eviction frees its bytes")
 {
   // Guards against bodies that shut out ordinary requests, and against counting
   // the bytes of an evicted connection twice or for ever.
-  MemoryAccount account;
-  account.mLimits.mHeldBytes = 4 * kMegaByte;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mHeldBytes = 4 * kMegaByte;
   auto evicted = 0;
-  MemoryHolder stalled(&account);
+  MemoryHolder stalled(account);
   stalled.BeConnection([&] { ++evicted; });
   stalled.mProgress.mProgressAt = Clock::now() - seconds(5);
   REQUIRE(stalled.Set(HeldKind::Bodies, 3 * kMegaByte));
-  MemoryHolder next(&account);
+  MemoryHolder next(account);
   next.BeConnection([] {});
   next.mProgress.mProgressAt = Clock::now();
   CHECK(next.Set(HeldKind::Heads, 1000));
@@ -104,46 +104,46 @@
   CHECK(evicted == 1);
   CHECK(stalled.Evicted());
   CHECK_FALSE(stalled.Set(HeldKind::Heads, 1));
-  CHECK(account.Held() == kMegaByte + 1000);
-  CHECK(account.HeldOf(HeldKind::Bodies) == kMegaByte);
-  CHECK(account.Connections() == 1);
+  CHECK(account->Held() == kMegaByte + 1000);
+  CHECK(account->HeldOf(HeldKind::Bodies) == kMegaByte);
+  CHECK(account->Connections() == 1);
 }
 
 TEST_CASE("new connections replace those that wait, up to the limit")
 {
   // Guards against running out of descriptors, and against counting closed
   // connections.
-  MemoryAccount account;
-  account.mLimits.mConnections = 2;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mConnections = 2;
   auto evicted = 0;
-  MemoryHolder running(&account);
+  MemoryHolder running(account);
   running.BeConnection([] {});
   running.SetEvictable(false);
   {
-    MemoryHolder waiting(&account);
+    MemoryHolder waiting(account);
     waiting.BeConnection([&] { ++evicted; });
-    CHECK(account.Connections() == 2);
-    CHECK(account.MakeRoomForConnection());
+    CHECK(account->Connections() == 2);
+    CHECK(account->MakeRoomForConnection());
     CHECK(evicted == 1);
   }
-  CHECK(account.Connections() == 1);
-  MemoryHolder other(&account);
+  CHECK(account->Connections() == 1);
+  MemoryHolder other(account);
   other.BeConnection([] {});
   other.SetEvictable(false);
-  CHECK_FALSE(account.MakeRoomForConnection());
+  CHECK_FALSE(account->MakeRoomForConnection());
 }
 
 TEST_CASE("answers are counted even if they don't fit")
 {
   // Guards against losing what an endpoint has already run.
-  MemoryAccount account;
-  account.mLimits.mHeldBytes = kMegaByte;
+  const auto account = std::make_shared<MemoryAccount>();
+  account->mLimits.mHeldBytes = kMegaByte;
   {
-    MemoryHolder answer(&account);
+    MemoryHolder answer(account);
     answer.Force(HeldKind::Answers, 2 * kMegaByte);
-    CHECK(account.HeldOf(HeldKind::Answers) == 2 * kMegaByte);
+    CHECK(account->HeldOf(HeldKind::Answers) == 2 * kMegaByte);
   }
-  CHECK(account.Held() == 0);
+  CHECK(account->Held() == 0);
 }
 
 TEST_CASE("the limits follow the machine")
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -266,7 +266,7 @@
 auto ServingDaemon::RefuseForMemory(const RequestMetadata& aMetadata)
   -> Response
 {
-  if (mState.mMemory.MayLog(Clock::now())) {
+  if (mState.mMemory->MayLog(Clock::now())) {
     LogEvent(Severity::Info,
              "request_refused",
              { { "id", aMetadata.mId }, { "reason", "memory" } });
@@ -706,7 +706,7 @@
     UpdatePeerLiveness(mState, now);
     SampleDemand(mState, now);
     mState.mPool.CloseExpired(now);
-    mState.mMemory.Publish();
+    mState.mMemory->Publish();
     FetchNewerDocument(now);
     if (mEndpointsLoaded && now >= mState.mStartedAt + kSettlingTime) {
       CheckEvacuations(mState);
@@ -760,7 +760,7 @@
   mTables.mMaxRecordBytes = mSettings.mMaxRecordBytes;
   mTables.mMaxCallBytes = mSettings.mMaxCallBytes;
   mJobs.mPolicy.mKeepResults = mSettings.mKeepResults;
-  auto& limits = mState.mMemory.mLimits;
+  auto& limits = mState.mMemory->mLimits;
   limits = LimitsOfThisMachine();
   const auto lower = [](std::size_t& aLimit, std::size_t aSetting) {
     aLimit = aSetting == 0 ? aLimit : std::min(aLimit, aSetting);
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -158,11 +158,11 @@
     : mLoop(aLoop)
     , mPool(aLoop)
   {
-    mAnswerBytes.mAccount = &mMemory;
+    mAnswerBytes.mAccount = mMemory;
   }
 
   asio::io_context& mLoop;
-  MemoryAccount mMemory;
+  MemoryAccountPtr mMemory = std::make_shared<MemoryAccount>();
   std::string mHost;   // address of this daemon for its peers
   std::string mDomain; // failure domain of this daemon
   TimePoint mStartedAt = Clock::now();
