Use freed slots first only while few slots are free

Cause: a host that asked one request after the other counted as short of slots because its arrivals were many for the number of slots, and then always used the slot that it had just freed. In platform/evacuation_test and unframed_test one endpoint got no request for 40 s. Change: slots are scarce while less than a quarter of the domain's slots is free.

--- a/mangovalve/routing/slot_share.cc
+++ b/mangovalve/routing/slot_share.cc
@@ -22,7 +22,6 @@
   const auto free = std::max(0.0, aFree);
   const auto plenty = free > 0 && free >= kPlenty * all * interval.count();
   const auto share = plenty ? free : free * own / all;
-  aShare.mPlenty = plenty;
   const auto whole = std::floor(share);
   aShare.mSlots = whole + (Uniform(aRandom) < share - whole ? 1 : 0);
   aShare.mAsOf = aAsOf;
--- a/mangovalve/routing/slot_share.h
+++ b/mangovalve/routing/slot_share.h
@@ -18,7 +18,7 @@
 {
   TimePoint mAsOf{};   // of the reports on which it is based
   double mSlots = 0;   // that this host may still take until newer ones arrive
-  bool mPlenty = true; // there are slots for all arrivals
+  bool mScarce = false; // few of the slots were free
 };
 
 // The hosts that compete for free slots.
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -253,6 +253,11 @@
 // Largest teams whose shares are computed; the others are not held back.
 constexpr std::size_t kMaxSharingTeams = 64;
 
+// While a smaller fraction of the own domain's slots is free, a host uses the
+// slots that it has freed first. With more, that would keep a steady caller at
+// one endpoint.
+constexpr double kScarceFraction = 0.25;
+
 struct DomainRoom
 {
   double mSlots = 0;
@@ -331,12 +336,15 @@
     return share;
   }
   auto free = 0.0;
+  auto slots = 0.0;
   for (const auto& endpoint : aPool.mEndpoints) {
     if (endpoint->mOwnDomain) {
       const auto candidate =
         CandidateOf(aState, *endpoint, LimitedUse::Needed, aNow);
-      free +=
-        candidate.mUsable ? std::max(0.0, ReclaimableSlots(candidate)) : 0;
+      if (candidate.mUsable) {
+        free += std::max(0.0, ReclaimableSlots(candidate));
+        slots += candidate.mSlots;
+      }
     }
   }
   const auto service = StableHash(aPool.mEndpoints[0]->mRegistration.mService);
@@ -345,6 +353,7 @@
   RenewShare(
     share, free, { own, others, kOwnShareInterval }, aNow, aState.mRandom);
   aPool.mUnseenPlacements = others * kUnseenSeconds;
+  share.mScarce = free < kScarceFraction * slots;
   return share;
 }
 
@@ -784,7 +793,7 @@
   }
   const auto request = SizedRequestOf(aState, aPool, aSize);
   const auto& own = RenewOwnShare(aState, aPool, aNow);
-  if (!own.mPlenty) {
+  if (own.mScarce) {
     if (auto freed = FindFreedSlot(aState, aPool, aTried, request, aNow)) {
       return freed;
     }
