Limit a host to its share only where requests hold slots for long

Cause: requests of a plain service take some 30 ms, so its slots become free several times between two reports. Change: shares apply only where a request holds a slot for at least two report intervals. Result: a new case in state_test.cc, which failed without the change.

--- a/mangovalve/routing/slot_share.h
+++ b/mangovalve/routing/slot_share.h
@@ -16,8 +16,8 @@
 
 struct SlotShare
 {
-  TimePoint mAsOf{};   // of the reports on which it is based
-  double mSlots = 0;   // that this host may still take until newer ones arrive
+  TimePoint mAsOf{};    // of the reports on which it is based
+  double mSlots = 0;    // that this host may still take until newer ones arrive
   bool mScarce = false; // few of the slots were free
 };
 
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -258,6 +258,16 @@
 // one endpoint.
 constexpr double kScarceFraction = 0.25;
 
+// Whether requests hold a slot for so long that a report tells for a while
+// which slots are free. A slot that is free again several times between two
+// reports must not count once only.
+auto HoldsSlots(const ServicePool& aPool, Duration aReportInterval) -> bool
+{
+  constexpr double kMinIntervals = 2;
+  const std::chrono::duration<double> interval = aReportInterval;
+  return aPool.mMeanSeconds >= kMinIntervals * interval.count();
+}
+
 struct DomainRoom
 {
   double mSlots = 0;
@@ -289,7 +299,8 @@
   const auto& fleet = aState.mFleet;
   auto due = false;
   for (const auto& [name, domain] : fleet.mDomains) {
-    if (domain.mUnresponsive || domain.mLastReportAt == TimePoint{}) {
+    if (domain.mUnresponsive || domain.mLastReportAt == TimePoint{} ||
+        !HoldsSlots(aPool, kOtherShareInterval)) {
       aPool.mShares.erase(name);
     } else {
       due = due || aPool.mShares[name].mAsOf != domain.mLastReportAt;
@@ -350,8 +361,9 @@
   const auto service = StableHash(aPool.mEndpoints[0]->mRegistration.mService);
   const auto own = ArrivalsPerSecond(aPool.mArrivals, aNow);
   const auto others = DomainArrivals(aState.mFleet, aState.mDomain, service);
+  const auto competing = HoldsSlots(aPool, kOwnShareInterval) ? others : 0;
   RenewShare(
-    share, free, { own, others, kOwnShareInterval }, aNow, aState.mRandom);
+    share, free, { own, competing, kOwnShareInterval }, aNow, aState.mRandom);
   aPool.mUnseenPlacements = others * kUnseenSeconds;
   share.mScarce = free < kScarceFraction * slots;
   return share;
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -543,6 +543,41 @@
   CHECK(elapsed.count() / kDecisions < 2000);
 }
 
+TEST_CASE(
+  "requests that hold a slot for a short time are not limited to a share")
+{
+  // Guards against refusals by a service of few slots whose requests take some
+  // 30 ms: its slots become free several times between two reports, and a host
+  // with few arrivals had no share of them although they were free.
+  asio::io_context loop;
+  ServingState state(loop);
+  state.mDomain = "a";
+  state.mHost = "10.0.0.1:1";
+  const auto now = Clock::now();
+  Register(state.mDirectory, Endpoint(0, "a"));
+  SyncPools(state, now);
+  auto& pool = state.mPools["llm"];
+  wire::LoadReportT report;
+  report.host = "peer:1";
+  report.domain = "a";
+  report.incarnation = 1;
+  report.sequence = 1;
+  report.demands.emplace_back(StableHash("llm"), 1000.0F);
+  ApplyPeerReport(state, report, 1, now);
+  const auto tryRounds = [&](double aMeanSeconds) {
+    auto placed = 0;
+    pool.mShares.clear();
+    pool.mMeanSeconds = aMeanSeconds;
+    for (auto round = 1; round <= 100; ++round) {
+      const auto at = now + round * milliseconds(100);
+      placed += PlaceRequest(state, pool, {}, at) != nullptr ? 1 : 0;
+    }
+    return placed;
+  };
+  CHECK(tryRounds(0.03) == 100);
+  CHECK(tryRounds(0.8) < 20);
+}
+
 TEST_CASE("while slots are short, a host uses the slot that it has freed first")
 {
   // Guards against two hosts that take the same slot: all hosts see the free
