--- a/review/support-2/deployment.cc
+++ b/review/support-2/deployment.cc
@@ -25,6 +25,7 @@
 constexpr auto kWatchInterval = milliseconds(10);
 constexpr auto kRestartDelay = milliseconds(500);
 constexpr auto kReadyTime = seconds(10);
+constexpr auto kMostTime = seconds(115); // of a script
 constexpr auto kPartitions = 8;
 
 auto EnvironmentText(const char* aName, const char* aDefault) -> std::string
@@ -67,15 +68,35 @@
   mFolder = folder;
   mRecord.open(EnvironmentText("RECORD", "record.txt"));
   Spawn(mLoop, Watch());
+  mSignals.async_wait([this](ErrorCode aError, int /*aSignal*/) {
+    if (!aError) {
+      GiveUp("stopped by a signal");
+    }
+  });
 }
 
 Deployment::~Deployment()
+{
+  EndAll();
+}
+
+auto Deployment::GiveUp(const std::string& aReason) -> void
+{
+  Record("NOT RUN: " + aReason);
+  absl::PrintF("NOT RUN: %s\n", aReason);
+  std::fflush(stdout);
+  EndAll();
+  std::_Exit(static_cast<int>(Verdict::NotRun));
+}
+
+auto Deployment::EndAll() -> void
 {
   for (auto& machine : mMachines) {
     if (machine.mPid > 0) {
       kill(machine.mPid, SIGCONT);
       kill(machine.mPid, SIGKILL);
       waitpid(machine.mPid, nullptr, 0);
+      machine.mPid = 0;
     }
   }
   std::error_code ignored; // a leftover file harms no other case
@@ -304,6 +325,9 @@
 auto Deployment::Watch() -> Task<>
 {
   for (;;) {
+    if (Clock::now() >= mStartedAt + kMostTime) {
+      GiveUp("it takes too long");
+    }
     for (auto& machine : mMachines) {
       Look(machine, Clock::now());
     }
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -4,6 +4,7 @@
 // a case run on the same loop.
 #pragma once
 
+#include <csignal>
 #include <deque>
 #include <fstream>
 #include <functional>
@@ -121,8 +122,12 @@
   auto WriteSettings(const Machine& aMachine) -> void;
   auto Start(Machine& aMachine) -> bool;
   auto Watch() -> Task<>;
+  // Ends the script with exit code 2.
+  [[noreturn]] auto GiveUp(const std::string& aReason) -> void;
+  auto EndAll() -> void;
   auto Look(Machine& aMachine, TimePoint aNow) -> void;
 
+  asio::signal_set mSignals{ mLoop, SIGTERM, SIGINT };
   long mMemoryKb;
   std::string mFolder;
   std::ofstream mRecord;
