--- a/review/support-2/deployment.cc
+++ b/review/support-2/deployment.cc
@@ -412,6 +412,37 @@
   mRecord << absl::StrFormat("%8.3f ", Seconds()) << aLine << std::endl;
 }
 
+auto Deployment::RecordRuns() -> void
+{
+  constexpr std::size_t kMostRuns = 200;
+  std::size_t runs = 0;
+  for (const auto& replica : mReplicas) {
+    runs += replica.mRuns.size();
+  }
+  if (runs > kMostRuns) {
+    return;
+  }
+  const auto since = [this](TimePoint aAt) {
+    const std::chrono::duration<double> elapsed = aAt - mStartedAt;
+    return absl::StrFormat("%.3f", elapsed.count());
+  };
+  for (const auto& replica : mReplicas) {
+    for (const auto& run : replica.mRuns) {
+      Record(absl::StrCat("run of ",
+                          run.mId,
+                          " at ",
+                          replica.mOptions.mId,
+                          " after event ",
+                          run.mFrom,
+                          " from ",
+                          since(run.mAt),
+                          run.mEndedAt == TimePoint{}
+                            ? ", not ended"
+                            : absl::StrCat(" to ", since(run.mEndedAt))));
+    }
+  }
+}
+
 auto Deployment::OwnEnds() const -> int
 {
   auto ends = 0;
@@ -464,6 +495,7 @@
                                     replica.mCancelled,
                                     " of them cut by the sender"));
   }
+  aDeployment.RecordRuns();
   const auto* const name = aVerdict == Verdict::Held     ? "HELD"
                            : aVerdict == Verdict::Broken ? "BROKEN"
                                                          : "NOT RUN";
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -104,6 +104,8 @@
   // Adds a line to record.txt, with the time since the start.
   auto Record(const std::string& aLine) -> void;
   auto Seconds() const -> double;
+  // Records the runs at the replicas, if they are few.
+  auto RecordRuns() -> void;
 
   auto OwnEnds() const -> int;
   auto MemoryKills() const -> int;
