Confirm partitions that may have been assigned to another daemon

Cause: RenewLease() took a valid lease for proof that a partition which is listed before and after was held in between. The store also assigns partitions without any request, so a partition can go to another daemon and come back between two renewals.

Change: partitions count as held only if the generation has not changed, or has changed by one while the lease was valid. Otherwise the owner confirms each one: an append under the new generation, on condition that the partition ends where its last read or append ended. If that is accepted, nobody has written, and a daemon that got the partition in between is fenced. If not, the partition is loaded again. Until then submissions are refused, and 503 is answered in place of 404 or an empty page. Lapses of the membership take the same path; they released all partitions and interrupted their items before. Appends return the end of the partition; a 412 of the store is TableErrorKind::Moved.

--- a/mangovalve/batch/job_lease.cc
+++ b/mangovalve/batch/job_lease.cc
@@ -13,10 +13,13 @@
                 BootTime aValidUntil,
                 BootTime aNow) -> bool
 {
-  // The store may have processed the call at any time up to aNow. The
-  // generation changes with every assignment, so an equal one proves that there
-  // was none.
-  const auto held = IsValid(aLease, aNow) || aGeneration == aLease.mGeneration;
+  // The generation increases with every assignment. A partition that is listed
+  // before and after a single assignment was held throughout, unless the
+  // membership may have lapsed. The store may have processed the call at any
+  // time up to aNow.
+  const auto unchanged = aGeneration == aLease.mGeneration;
+  const auto single = aGeneration == aLease.mGeneration + 1;
+  const auto held = unchanged || (single && IsValid(aLease, aNow));
   aLease.mGeneration = aGeneration;
   aLease.mValidUntil = aValidUntil;
   return held;
--- a/mangovalve/batch/job_lease.h
+++ b/mangovalve/batch/job_lease.h
@@ -2,9 +2,9 @@
 // far as the daemon can tell from the store's answers.
 //
 // The store assigns the partitions of a member anew once it has heard nothing
-// of it for its time to live. A daemon that was suspended, or whose calls were
-// not answered, does not see that: it may get a partition back without having
-// learned that another member held it in between.
+// of it for its time to live, and at times without any request. A daemon does
+// not see each assignment: it may get a partition back without having learned
+// that another member held it in between.
 #pragma once
 
 #include <cstdint>
@@ -25,7 +25,8 @@
 
 // Renews the lease with an answer that was received at aNow. Returns whether
 // the partitions that both this answer and the last one list were held all the
-// time in between; if not, another member may have held and changed them.
+// time in between; if not, another member may have held and changed them. A
+// valid lease doesn't prove a hold.
 auto RenewLease(JobLease& aLease,
                 std::uint64_t aGeneration,
                 BootTime aValidUntil,
--- a/mangovalve/batch/job_lease_test.cc
+++ b/mangovalve/batch/job_lease_test.cc
@@ -43,10 +43,20 @@
 
 TEST_CASE("partitions are held while the lease is renewed in time")
 {
-  // Guards against partitions that are loaded again whenever other members
-  // come and go.
+  // Guards against partitions that are confirmed again whenever another member
+  // comes or goes.
   auto lease = Lease();
   const auto later = kStart + milliseconds(1900);
+  CHECK(RenewLease(lease, 8, later + kTimeToLive, later));
+}
+
+TEST_CASE("a valid lease does not prove a hold across several assignments")
+{
+  // Guards against an owner that keeps the state of a partition which another
+  // member got and lost again between two renewals.
+  auto lease = Lease();
+  const auto later = kStart + milliseconds(600);
+  CHECK_FALSE(RenewLease(lease, 9, later + kTimeToLive, later));
   CHECK(RenewLease(lease, 9, later + kTimeToLive, later));
 }
 
--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovalve/telemetry/counters.h"
 #include "mangovalve/telemetry/event_log.h"
 
 namespace mangovalve {
@@ -64,6 +65,7 @@
   , mTables(aTables)
   , mPartition(aPartition)
   , mGeneration(aGeneration)
+  , mStartedAt(aStartedAt)
   , mToken(FenceToken(aGeneration, aStartedAt))
   , mFirstTime(aStartedAt.time_since_epoch())
   , mFetchProgress(std::move(aFetchProgress))
@@ -100,6 +102,12 @@
   NotifyWaiters();
 }
 
+auto JobPartition::Reassign(std::uint64_t aGeneration) -> void
+{
+  mReassigned = aGeneration;
+  mQueued.Notify();
+}
+
 auto JobPartition::SetStoreReachable(bool aReachable) -> void
 {
   if (aReachable != mStoreReachable) {
@@ -143,6 +151,34 @@
   co_return false;
 }
 
+auto JobPartition::ConfirmOwnership() -> Task<bool>
+{
+  const auto generation = *mReassigned;
+  mToken = FenceToken(generation, mStartedAt);
+  mSequence = 0;
+  mClockRecordedAt = Clock::now();
+  const std::vector<KeyedRecord> records{ ClockRecord(mTable.mClock,
+                                                      mClockRecordedAt) };
+  const auto decided = co_await AppendUntilDecided(records, mEnd);
+  const auto confirmed = decided == AppendResult::Durable;
+  LogEvent(confirmed ? Severity::Info : Severity::Warn,
+           confirmed ? "partition_confirmed" : "partition_not_confirmed",
+           { { "partition", absl::StrCat(mPartition) },
+             { "generation", absl::StrCat(generation) } });
+  FindCounter("mangovalve_partition_confirmations_total",
+              { { "result", confirmed ? "unchanged" : "lost" } })
+    .Add();
+  if (!confirmed) {
+    co_return false;
+  }
+  mGeneration = generation;
+  // There may have been another assignment meanwhile.
+  if (mReassigned == generation) {
+    mReassigned.reset();
+  }
+  co_return true;
+}
+
 // The former owner is fenced, so its progress is final. Without this handoff,
 // items that were running would start from their first event again.
 auto JobPartition::ImportProgress() -> Task<>
@@ -180,19 +216,21 @@
     std::move(page->mRecords.begin(),
               page->mRecords.end(),
               std::back_inserter(records));
+    mEnd = page->mEnd;
   }
   mTable = LoadJobs(records, mFirstTime, Clock::now());
   co_return true;
 }
 
-auto JobPartition::AppendUntilDecided(const std::vector<KeyedRecord>& aRecords)
+auto JobPartition::AppendUntilDecided(const std::vector<KeyedRecord>& aRecords,
+                                      std::optional<Offset> aEndsAt)
   -> Task<AppendResult>
 {
   const auto sequence = mSequence;
   while (!mStopped || !aRecords.empty()) {
     auto records = aRecords;
     std::optional<WriterFence> fence(
-      WriterFence{ kWriterName, mToken, sequence });
+      WriterFence{ kWriterName, mToken, sequence, aEndsAt });
     const auto result = co_await mTables.mAppend(Table::Jobs,
                                                  mPartition,
                                                  std::move(records),
@@ -202,9 +240,11 @@
       result ? TableErrorKind::NotApplied : result.error().mKind;
     SetStoreReachable(result || kind == TableErrorKind::Fenced ||
                       kind == TableErrorKind::Sequence ||
+                      kind == TableErrorKind::Moved ||
                       kind == TableErrorKind::Rejected);
     if (result) {
       mSequence = sequence + 1;
+      mEnd = *result;
       co_return AppendResult::Durable;
     }
     if (kind == TableErrorKind::Rejected) {
@@ -217,11 +257,15 @@
                  { "generation", absl::StrCat(mGeneration) } });
       co_return AppendResult::Stopped;
     }
+    if (kind == TableErrorKind::Moved) {
+      co_return AppendResult::Stopped;
+    }
     if (kind == TableErrorKind::Sequence) {
       // The append was stored by an earlier attempt if the store expects the
       // next number. Any other number means that the state here does not match
-      // the store.
+      // the store. The end is not stated.
       mSequence = sequence + 1;
+      mEnd = 0;
       co_return result.error().mExpected == sequence + 1
         ? AppendResult::Durable
         : AppendResult::Stopped;
@@ -319,6 +363,15 @@
 auto JobPartition::AppendQueued() -> Task<>
 {
   while (!mStopped) {
+    if (mReassigned) {
+      mAppending = true;
+      const auto confirmed = co_await ConfirmOwnership();
+      mAppending = false;
+      if (!confirmed) {
+        co_return;
+      }
+      continue;
+    }
     auto appends = DequeueBatch();
     const auto clockDue = NextClockRecord();
     if (appends.empty() && Clock::now() < clockDue) {
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -7,6 +7,12 @@
 // is accepted, a result is published and the end of a job is confirmed only
 // after their records are durable.
 //
+// A daemon may lose a partition and get it back without learning of either. The
+// owner then sets a new fence on condition that the partition still ends where
+// its own last append ended. If so, its jobs are complete and no owner in
+// between can write any more; otherwise it stops, and the partition is loaded
+// again.
+//
 // While the store is unavailable, pending appends are retried with the same
 // sequence number, and new jobs are refused without an attempt to append them.
 // A job whose records the store rejects is refused, so that it does not hold up
@@ -16,6 +22,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,11 +55,18 @@
   auto Run() -> Task<>;
   auto Stop() -> void;
 
+  // Makes this owner confirm, under the generation of a later assignment, that
+  // no other owner has changed the partition.
+  auto Reassign(std::uint64_t aGeneration) -> void;
+
   auto Number() const -> std::uint32_t { return mPartition; }
   auto Generation() const -> std::uint64_t { return mGeneration; }
   // Whether the jobs are loaded and this owner is not known to be superseded.
   auto Active() const -> bool { return mLoaded && !mStopped; }
   auto Stopped() const -> bool { return mStopped; }
+  // Whether the jobs are complete as of the last assignment. Otherwise another
+  // owner may have accepted jobs and published results.
+  auto Confirmed() const -> bool { return !mReassigned; }
   // Whether all enqueued records are durable.
   auto Flushed() const -> bool { return mQueue.empty() && !mAppending; }
   // Whether the store answered the last call.
@@ -115,11 +129,16 @@
 
   auto Open() -> Task<bool>;
   auto AcquireFence() -> Task<bool>;
+  // Renews the fence under the generation of the last assignment; false if
+  // another owner has changed the partition, or may have.
+  auto ConfirmOwnership() -> Task<bool>;
   auto ImportProgress() -> Task<>;
   auto LoadPages() -> Task<bool>;
   auto AppendQueued() -> Task<>;
-  // Repeats the append until the store has decided on it.
-  auto AppendUntilDecided(const std::vector<KeyedRecord>& aRecords)
+  // Repeats the append until the store has decided on it. With aEndsAt, it is
+  // refused unless the partition ends there.
+  auto AppendUntilDecided(const std::vector<KeyedRecord>& aRecords,
+                          std::optional<Offset> aEndsAt = std::nullopt)
     -> Task<AppendResult>;
   // Appends several changes at once, or each one by itself if the store rejects
   // one of them; false if this owner must stop.
@@ -143,10 +162,14 @@
   const TablePorts& mTables;
   std::uint32_t mPartition;
   std::uint64_t mGeneration;
+  WallTime mStartedAt;
   std::uint64_t mToken; // fencing token, see FenceToken
   JobTime mFirstTime;   // of the partition if the store knows none
   TimePoint mClockRecordedAt{};
   std::uint64_t mSequence = 0;
+  Offset mEnd = 0; // of the partition, after the last read or append
+  // Generation of an assignment that is not confirmed yet.
+  std::optional<std::uint64_t> mReassigned;
   JobTable mTable;
   bool mLoaded = false;
   bool mStopped = false;
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -117,10 +117,20 @@
                                                                : nullptr;
 }
 
-// All loaded partitions while the lease is valid. An expired lease means that
-// the store is unreachable for this daemon or for all daemons. Items then
-// continue to run only while at least half of the peers are heard and none of
-// them reports the partition with a later generation, so that an isolated
+auto JobService::UncertainOutcome(const JobPartition& aPartition) const
+  -> std::optional<JobOutcome>
+{
+  if (!LeaseValid()) {
+    return JobOutcome::NotApplied;
+  }
+  return aPartition.Confirmed() ? std::nullopt
+                                : std::optional(JobOutcome::NotOwner);
+}
+
+// All loaded partitions while the lease is valid and they are confirmed.
+// Otherwise the store is unreachable for this daemon or for all daemons. Items
+// then continue to run only while at least half of the peers are heard and none
+// of them reports the partition with a later generation, so that an isolated
 // daemon does not run items of partitions that were taken over.
 auto JobService::RunnablePartitions() const -> std::vector<JobPartitionPtr>
 {
@@ -132,7 +142,8 @@
   for (const auto& [number, partition] : mPartitions) {
     const auto claim = OwnerOf(mState.mFleet, number);
     const auto claimed = claim && claim->mGeneration > partition->Generation();
-    if (partition->Active() && (leased || (connected && !claimed))) {
+    const auto certain = leased && partition->Confirmed();
+    if (partition->Active() && (certain || (connected && !claimed))) {
       partitions.push_back(partition);
     }
   }
@@ -165,12 +176,11 @@
                                    BootNow());
       if (!held) {
         LogEvent(Severity::Warn,
-                 "membership_lapsed",
+                 "assignments_missed",
                  { { "generation", absl::StrCat(mLease.mGeneration) },
-                   { "released", absl::StrCat(mPartitions.size()) } });
-        ReleaseAll();
+                   { "partitions", absl::StrCat(mPartitions.size()) } });
       }
-      ApplyAssignment(*assignment);
+      ApplyAssignment(*assignment, held);
     }
     ExpireFormerPartitions(Clock::now());
     co_await SleepUntil(started + mPolicy.mJoinInterval);
@@ -185,19 +195,23 @@
   mPartitions.clear();
 }
 
-auto JobService::ApplyAssignment(const GroupAssignment& aAssignment) -> void
+auto JobService::ApplyAssignment(const GroupAssignment& aAssignment, bool aHeld)
+  -> void
 {
-  const std::set<std::uint32_t> held(aAssignment.mPartitions.begin(),
-                                     aAssignment.mPartitions.end());
+  const std::set<std::uint32_t> assigned(aAssignment.mPartitions.begin(),
+                                         aAssignment.mPartitions.end());
   for (auto it = mPartitions.begin(); it != mPartitions.end();) {
-    if (!held.contains(it->first) || it->second->Stopped()) {
+    if (!assigned.contains(it->first) || it->second->Stopped()) {
       Release(it->second);
       it = mPartitions.erase(it);
-    } else {
-      ++it;
+      continue;
     }
+    if (!aHeld) {
+      it->second->Reassign(aAssignment.mGeneration);
+    }
+    ++it;
   }
-  for (const auto number : held) {
+  for (const auto number : assigned) {
     if (!mPartitions.contains(number)) {
       auto partition = std::make_shared<JobPartition>(
         mState.mLoop,
@@ -432,8 +446,9 @@
   const auto document = mState.mDocument;
   const auto* route =
     document ? FindRoute(*document, aJob.host, aJob.path) : nullptr;
-  if (route == nullptr || !LeaseValid()) {
-    reply.mOutcome = JobOutcome::NotApplied;
+  const auto uncertain = UncertainOutcome(*aPartition);
+  if (route == nullptr || uncertain) {
+    reply.mOutcome = uncertain.value_or(JobOutcome::NotApplied);
     co_return reply;
   }
   aJob.submitted_ms = aPartition->Now().time_since_epoch().count();
@@ -461,11 +476,15 @@
 {
   JobResponse reply;
   const auto job = FindJob(aPartition->Jobs(), aQuery.team, aQuery.job);
-  if (!job || !job->mDurable) {
-    // Without a valid lease, another daemon may own the partition and have
-    // accepted the job.
+  if (!job) {
+    // Another daemon may own the partition, or have owned it, and have accepted
+    // the job.
     reply.mOutcome =
-      !job && LeaseValid() ? JobOutcome::NotFound : JobOutcome::NotApplied;
+      UncertainOutcome(*aPartition).value_or(JobOutcome::NotFound);
+    co_return reply;
+  }
+  if (!job->mDurable) {
+    reply.mOutcome = JobOutcome::NotApplied;
     co_return reply;
   }
   reply.mOutcome = JobOutcome::Done;
@@ -487,10 +506,9 @@
         job, aQuery.after, Clock::now() + wait);
     }
     reply.mPage = MakeResultPage(*job, aQuery.after, kPageBytes);
-    // Without a valid lease, another daemon may have published more results.
-    if (reply.mPage.results.empty() && aQuery.after < job->mItems.size() &&
-        !LeaseValid()) {
-      reply.mOutcome = JobOutcome::NotApplied;
+    // Another daemon may have published more results.
+    if (reply.mPage.results.empty() && aQuery.after < job->mItems.size()) {
+      reply.mOutcome = UncertainOutcome(*aPartition).value_or(JobOutcome::Done);
     }
   }
   co_return reply;
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -91,7 +91,9 @@
 
   auto MaintainMembership() -> Task<>;
   // Stops the partitions that are no longer assigned, and loads the new ones.
-  auto ApplyAssignment(const GroupAssignment& aAssignment) -> void;
+  // Unless aHeld, those that remain have to confirm that nobody else has
+  // changed them.
+  auto ApplyAssignment(const GroupAssignment& aAssignment, bool aHeld) -> void;
   auto ReleaseAll() -> void;
   // Stops a partition that is no longer owned and retains it for the handoff.
   auto Release(JobPartitionPtr aPartition) -> void;
@@ -105,6 +107,11 @@
   auto ServeProgress(CallerPtr aCaller, std::string aQuery) -> Task<>;
   auto RemoveExpiredJobs() -> Task<>;
   auto LeaseValid() const -> bool;
+  // The outcome of a call that depends on there being nothing beyond the jobs
+  // that the partition has loaded: nullopt if that is certain. NotOwner if it
+  // will be known shortly.
+  auto UncertainOutcome(const JobPartition& aPartition) const
+    -> std::optional<JobOutcome>;
   auto RouteRequest(JobRequest aJobRequest) -> Task<JobResponse>;
   auto CallPeer(const std::string& aHost, const JobRequest& aJobRequest)
     -> Task<JobResponse>;
--- a/mangovalve/serving/tables.h
+++ b/mangovalve/serving/tables.h
@@ -35,6 +35,7 @@
   Unknown,    // no response: the call may have been or may yet be executed
   Fenced,     // a writer with a higher token has written
   Sequence,   // not the next sequence number, which is mExpected
+  Moved,      // the partition does not end at the offset that was named
   Expired,    // the requested records have been deleted
   Full,       // the store accepts no more bytes
 };
@@ -76,6 +77,8 @@
   std::string mWriter;
   std::uint64_t mToken = 0;
   std::uint64_t mSequence = 0;
+  // If set, the append is refused unless the partition ends here.
+  std::optional<Offset> mEndsAt;
 };
 
 struct GroupAssignment
@@ -101,13 +104,14 @@
                      TimePoint aDeadline)
                   ->Task<TableResult<TableChanges>>>
     mChanges;
-  // Appends all records or none. Without records, it only sets the fence token.
+  // Appends all records or none, and returns the offset at which the partition
+  // ends. Without records, it only sets the fence token.
   std::function<auto(Table,
                      std::uint32_t aPartition,
                      std::vector<KeyedRecord>,
                      std::optional<WriterFence>,
                      TimePoint aDeadline)
-                  ->Task<TableResult<void>>>
+                  ->Task<TableResult<Offset>>>
     mAppend;
   // Joins the consumer group that assigns the job partitions, or renews the
   // membership.
