Let an idle endpoint run batch items however few slots it has

Cause: PlaceBatch() leaves a fixed number of slots free on each endpoint, one for online requests and one more from late items, which is all that such an endpoint has. On related paths, one slot was too few for any item, and an endpoint of another domain needed one slot more.

Change: BatchHeadroom() limits what an item leaves free, the margin for other domains included, to all slots of the endpoint but one. The count of spare slots and the room through a rise of the demand use it too. Endpoints with four slots or more are chosen as before. Online requests take such slots back by preemption.

Tests: "an idle endpoint runs batch items however few slots it has", "endpoints with many slots keep the whole headroom".

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -369,7 +369,9 @@
   auto headroom = 0.0;
   for (const auto& candidate : aCandidates) {
     slots += candidate.mUsable ? UsableSlots(candidate) : 0;
-    headroom += candidate.mUsable ? mState.mPlacement.mBatchHeadroom : 0;
+    headroom += candidate.mUsable
+                  ? BatchHeadroom(candidate, mState.mPlacement.mBatchHeadroom)
+                  : 0;
     batch += candidate.mBatch;
   }
   // The items of other hosts are assumed to be as far as those of this host.
--- a/mangovalve/routing/placement.cc
+++ b/mangovalve/routing/placement.cc
@@ -248,14 +248,31 @@
   const auto headroom =
     aPolicy.mBatchHeadroom +
     (aUrgency == BatchUrgency::Late ? aPolicy.mLateHeadroom : 0);
-  const auto room = [headroom](const PlacementCandidate& aCandidate) {
-    return FreeSlots(aCandidate) - headroom;
+  const auto roomBeyond = [](double aSlots) {
+    return [aSlots](const PlacementCandidate& aCandidate) {
+      return FreeSlots(aCandidate) - BatchHeadroom(aCandidate, aSlots);
+    };
   };
   // The owners of batch jobs start items at the same moment and together take
   // about all spare slots.
   auto policy = aPolicy;
   policy.mUnseenPlacements = SpareSlotsForBatch(aCandidates, aPolicy);
-  return ChooseOwnDomainFirst({ aCandidates, {}, policy }, room, aRandom);
+  const CandidateSet choice{ aCandidates, {}, policy };
+  const auto near =
+    ChooseWeightedByRoom(choice, true, roomBeyond(headroom), 0, aRandom);
+  return near ? near
+              : ChooseWeightedByRoom(
+                  choice,
+                  false,
+                  roomBeyond(headroom + aPolicy.mOtherDomainMargin),
+                  0,
+                  aRandom);
+}
+
+auto BatchHeadroom(const PlacementCandidate& aCandidate, double aSlots)
+  -> double
+{
+  return std::min(aSlots, std::max(0.0, aCandidate.mSlots - 1));
 }
 
 auto SpareSlotsForBatch(std::span<const PlacementCandidate> aCandidates,
@@ -264,7 +281,8 @@
   auto spare = 0.0;
   for (const auto& candidate : aCandidates) {
     if (candidate.mUsable) {
-      spare += std::max(0.0, FreeSlots(candidate) - aPolicy.mBatchHeadroom);
+      const auto headroom = BatchHeadroom(candidate, aPolicy.mBatchHeadroom);
+      spare += std::max(0.0, FreeSlots(candidate) - headroom);
     }
   }
   return spare;
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -35,7 +35,8 @@
 struct PlacementPolicy
 {
   // Slots that batch items leave free on each endpoint, so that the first
-  // requests of a burst need not wait for a batch item to stop.
+  // requests of a burst need not wait for a batch item to stop. Endpoints with
+  // few slots leave fewer free; see BatchHeadroom().
   double mBatchHeadroom = 1;
   // Additional slots that late items leave free, for items of other hosts that
   // can still be completed in time.
@@ -121,6 +122,11 @@
                 const PlacementPolicy& aPolicy,
                 Random& aRandom) -> std::optional<std::size_t>;
 
+// Slots that a batch item leaves free on the endpoint: aSlots, but no more than
+// leave one slot to the items of an idle endpoint, or they would never run.
+auto BatchHeadroom(const PlacementCandidate& aCandidate, double aSlots)
+  -> double;
+
 // Number of slots at all endpoints that batch items may still take.
 auto SpareSlotsForBatch(std::span<const PlacementCandidate> aCandidates,
                         const PlacementPolicy& aPolicy) -> double;
--- a/mangovalve/routing/placement_test.cc
+++ b/mangovalve/routing/placement_test.cc
@@ -97,6 +97,43 @@
   }
 }
 
+TEST_CASE("an idle endpoint runs batch items however few slots it has")
+{
+  // Guards against items that never run because the slots to be left free are
+  // all that an endpoint has.
+  Random random{ 17 };
+  for (const auto slots : { 1, 2, 3, 4, 8 }) {
+    for (const auto urgency : { BatchUrgency::OnTime, BatchUrgency::Late }) {
+      for (const auto ownDomain : { true, false }) {
+        CAPTURE(slots);
+        CAPTURE(ownDomain);
+        std::array candidates = { Engine(0, 0) };
+        candidates[0].mSlots = slots;
+        candidates[0].mOwnDomain = ownDomain;
+        CHECK(SpareSlotsForBatch(candidates, {}) == std::max(1, slots - 1));
+        CHECK(PlaceBatch(candidates, urgency, {}, random) == 0);
+        // What an online request holds is left to it.
+        candidates[0].mOnline = slots;
+        CHECK_FALSE(PlaceBatch(candidates, urgency, {}, random).has_value());
+      }
+    }
+  }
+}
+
+TEST_CASE("endpoints with many slots keep the whole headroom")
+{
+  // Guards against a limit for small endpoints that takes free slots from the
+  // online requests of large ones.
+  const PlacementPolicy policy;
+  auto candidate = Engine(0, 0);
+  const auto most =
+    policy.mBatchHeadroom + policy.mLateHeadroom + policy.mOtherDomainMargin;
+  candidate.mSlots = most + 1;
+  CHECK(BatchHeadroom(candidate, most) == most);
+  candidate.mSlots = 2;
+  CHECK(BatchHeadroom(candidate, most) == 1);
+}
+
 TEST_CASE("other domains are used only when the own one has no free slot")
 {
   // Traffic between domains has a price, and load reports from other domains
