--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -174,7 +174,7 @@
                                    assignment->mGeneration,
                                    sentAt + mPolicy.mTimeToLive,
                                    BootNow());
-      if (!held) {
+      if (!held && !mPartitions.empty()) {
         LogEvent(Severity::Warn,
                  "assignments_missed",
                  { { "generation", absl::StrCat(mLease.mGeneration) },
