Let quarantined batch items take trials

An item that is in progress at four crashes, before an answer with its shared parts begins, has these parts quarantined for an hour, and is held back as long. A wrong quarantine ends by trials, but only requests took them: if no request has the parts, the item waits until it is abandoned.

Change: an item may be sent as a trial of the quarantines that it has parts of, when the trials of all of them are due. One item of a set is tried at a time, its run is not preempted before an answer has begun, and a trial that no endpoint has run is returned. An answer that begins ends the quarantine; the limits on crashes by deadly parts stay, since the trials are those that requests may take.

--- a/mangovalve/batch/item_runner.cc
+++ b/mangovalve/batch/item_runner.cc
@@ -148,7 +148,8 @@
   std::vector<std::pair<YieldingItem, RunningItemPtr>> candidates;
   const auto now = Clock::now();
   for (const auto& run : mRunning) {
-    if (run->mEndpoint != aEndpoint || run->mStopped) {
+    const auto undecided = run->mTrial && !run->mAnswerBegun;
+    if (run->mEndpoint != aEndpoint || run->mStopped || undecided) {
       continue;
     }
     const auto events = run->mItem.mJob->mItems[run->mItem.mIndex].mEvents;
@@ -324,6 +325,39 @@
     mState.mSuspects, mProtocol.mItemSharedParts(item.mSubmitted), aNow);
 }
 
+auto ItemRunner::IsHeldBack(const RunnableItem& aItem, TimePoint aNow) const
+  -> bool
+{
+  const auto& item = aItem.mJob->mItems[aItem.mIndex];
+  return IsQuarantined(aItem, aNow) &&
+         !MayTryItem(mState, mProtocol.mItemSharedParts(item.mSubmitted), aNow);
+}
+
+auto ItemRunner::TakeTrial(RunningItem& aRun, TimePoint aNow) -> void
+{
+  const auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex].mSubmitted;
+  const auto parts = mProtocol.mItemSharedParts(item);
+  aRun.mTrial = true;
+  TakeTrials(mState.mSuspects, parts, mState.mSuspectPolicy, aNow);
+  LogEvent(Severity::Info,
+           "item_trial",
+           { { "id", item.id },
+             { "endpoint", aRun.mEndpoint->mRegistration.mId },
+             { "parts", FormatHashes(parts) } });
+}
+
+auto ItemRunner::ReturnUnusedTrial(const RunningItem& aRun, TimePoint aNow)
+  -> void
+{
+  if (aRun.mTrial && !aRun.mMayHaveRun) {
+    const auto& item = aRun.mItem.mJob->mItems[aRun.mItem.mIndex].mSubmitted;
+    ReturnTrials(mState.mSuspects,
+                 mProtocol.mItemSharedParts(item),
+                 mState.mSuspectPolicy,
+                 aNow);
+  }
+}
+
 auto ItemRunner::NextItems(const JobPartitionPtr& aPartition,
                            const std::string& aService,
                            const SchedulingInput& aInput)
@@ -333,12 +367,12 @@
     auto items = RunnableItems(
       aPartition->Jobs(), *mState.mDocument, aService, kMaxConsidered, aInput);
     const auto heldBack = std::erase_if(items, [&](const RunnableItem& aItem) {
-      const auto quarantined = IsQuarantined(aItem, aInput.mNow);
-      if (quarantined) {
+      const auto held = IsHeldBack(aItem, aInput.mNow);
+      if (held) {
         aItem.mJob->mItems[aItem.mIndex].mNotBefore =
           aInput.mNow + mPolicy.mQuarantineCheckInterval;
       }
-      return quarantined;
+      return held;
     });
     if (heldBack == 0 || !items.empty()) {
       return items;
@@ -421,6 +455,10 @@
   const auto outlook = OutlookOf(aPool.mDemand, aPool.mMeanSeconds, aNow);
   auto room = outlook ? RoomThroughRiseFor(*outlook, candidates, aNow) : 0;
   for (std::size_t i = 0; i < items.size() && starts > 0; ++i) {
+    // An item that has just been started may have used up the trial.
+    if (IsHeldBack(items[i].first, aNow)) {
+      continue;
+    }
     const auto rule =
       outlook ? RuleOf(*outlook, items[i].first, aNow) : StartRule::BeforeRise;
     if (rule == StartRule::ThroughRise) {
@@ -452,6 +490,9 @@
     run->mDeadline = RunDeadline(
       *mState.mDocument, run->mPartition->Jobs().mClock, run->mItem, aNow);
     run->mItem.mJob->mItems[run->mItem.mIndex].mRunning = true;
+    if (IsQuarantined(run->mItem, aNow)) {
+      TakeTrial(*run, aNow);
+    }
     mRunning.push_back(run);
     Spawn(mState.mLoop, RunOne(run));
   }
@@ -491,6 +532,7 @@
     MarkCold(mState, *aRun->mEndpoint, "connection_lost", *aRun->mLostAt);
     co_await ExamineLoss(aRun);
   }
+  ReturnUnusedTrial(*aRun, Clock::now());
   mRunning.remove(aRun);
   auto& item = job->mItems[index];
   if (aRun->mEvents > 0) {
@@ -613,7 +655,8 @@
   if (aRun->mStopped || aRun->mItem.mJob->mEnded) {
     co_return RunOutcome::Interrupted;
   }
-  const auto quarantined = IsQuarantined(aRun->mItem, Clock::now());
+  const auto quarantined =
+    !aRun->mTrial && IsQuarantined(aRun->mItem, Clock::now());
   if (quarantined) {
     item.mNotBefore = Clock::now() + mPolicy.mQuarantineCheckInterval;
   }
@@ -637,6 +680,7 @@
   dispatch.mResumeAfter = item.mLastEvent;
   const auto request =
     mProtocol.mItemRequest(aRun->mItem.mJob->mHost, item.mSubmitted, dispatch);
+  aRun->mMayHaveRun = true;
   auto error = co_await SendRequest(
     **connection, request, Clock::now() + mPolicy.mIdleTimeout);
   std::optional<ResponseParser> parser;
@@ -686,6 +730,7 @@
     co_return RecordFailure(aRun, "response to another request");
   }
   if (metadata.mNotExecuted || metadata.mWrongEndpoint) {
+    aRun.mMayHaveRun = false;
     RecordExchange(mState,
                    *aRun.mEndpoint,
                    metadata.mWrongEndpoint ? ExchangeResult::Leaving
--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -85,6 +85,8 @@
     TimePoint mDeadline;       // when its item may be abandoned
     std::uint32_t mEvents = 0; // received by this run
     bool mAnswerBegun = false; // by the endpoint
+    bool mTrial = false;       // of the quarantines of its item
+    bool mMayHaveRun = false;  // the endpoint has not stated that it hasn't
     // When the endpoint ended the connection before it had begun to answer.
     std::optional<TimePoint> mLostAt;
     bool mStopped = false;
@@ -126,6 +128,13 @@
   // be the cause.
   auto ExamineLoss(RunningItemPtr aRun) -> Task<>;
   auto IsQuarantined(const RunnableItem& aItem, TimePoint aNow) const -> bool;
+  // Likewise, unless the item may be sent as a trial now. An item is owed even
+  // if endpoints have crashed under it, and may be the only one with its parts.
+  auto IsHeldBack(const RunnableItem& aItem, TimePoint aNow) const -> bool;
+  // Uses up the trials of the run's quarantines.
+  auto TakeTrial(RunningItem& aRun, TimePoint aNow) -> void;
+  // Returns them if the endpoint has not run the item.
+  auto ReturnUnusedTrial(const RunningItem& aRun, TimePoint aNow) -> void;
   // The items of a partition to start next. Quarantined ones are held back.
   auto NextItems(const JobPartitionPtr& aPartition,
                  const std::string& aService,
@@ -140,7 +149,8 @@
                           TimePoint aNow) -> std::size_t;
   static auto Stop(RunningItem& aRun, std::string_view aReason) -> void;
   // The items on an endpoint that may be preempted, those to preempt first at
-  // the front. Urgent items are not among them.
+  // the front. Urgent items are not among them, nor trials that an answer has
+  // not decided yet.
   auto PreemptionCandidates(const EndpointPtr& aEndpoint) const
     -> std::vector<RunningItemPtr>;
   auto LogLoad(const std::string& aService,
--- a/mangovalve/routing/crash_suspects.cc
+++ b/mangovalve/routing/crash_suspects.cc
@@ -680,6 +680,53 @@
   return due.has_value();
 }
 
+auto FindDueTrials(const CrashSuspects& aSuspects,
+                   std::span<const PartHash> aParts,
+                   const SuspectPolicy& aPolicy,
+                   TimePoint aNow) -> std::optional<DueTrials>
+{
+  DueTrials trials{ TimePoint::min(), {} };
+  for (const auto& quarantine : aSuspects.mQuarantines) {
+    if (quarantine.mUntil <= aNow ||
+        !ContainsAnyOf(aParts, quarantine.mParts)) {
+      continue;
+    }
+    if (!IsTrialDue(aSuspects, quarantine, aPolicy, aNow)) {
+      return std::nullopt;
+    }
+    const auto due = TrialDeadlinesAt(quarantine, aPolicy, aNow).mLast;
+    trials.mSince = std::max(trials.mSince, due);
+    trials.mParts.insert(
+      trials.mParts.end(), quarantine.mParts.begin(), quarantine.mParts.end());
+  }
+  Normalize(trials.mParts);
+  return trials.mParts.empty() ? std::nullopt : std::optional(trials);
+}
+
+auto TakeTrials(CrashSuspects& aSuspects,
+                std::span<const PartHash> aParts,
+                const SuspectPolicy& aPolicy,
+                TimePoint aNow) -> void
+{
+  for (auto& quarantine : aSuspects.mQuarantines) {
+    if (ContainsAnyOf(aParts, quarantine.mParts)) {
+      quarantine.mTrialAt = TrialDeadlinesAt(quarantine, aPolicy, aNow).mNext;
+    }
+  }
+}
+
+auto ReturnTrials(CrashSuspects& aSuspects,
+                  std::span<const PartHash> aParts,
+                  const SuspectPolicy& aPolicy,
+                  TimePoint aNow) -> void
+{
+  for (auto& quarantine : aSuspects.mQuarantines) {
+    if (ContainsAnyOf(aParts, quarantine.mParts)) {
+      quarantine.mTrialAt = TrialDeadlinesAt(quarantine, aPolicy, aNow).mLast;
+    }
+  }
+}
+
 auto ForgetExpired(CrashSuspects& aSuspects,
                    const SuspectPolicy& aPolicy,
                    TimePoint aNow) -> void
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -165,6 +165,33 @@
                bool aMayTry,
                TimePoint aNow) -> bool;
 
+// Trials of all quarantines that have parts in common with one request.
+struct DueTrials
+{
+  TimePoint mSince; // when the last of them was due
+  PartSet mParts;   // of all these quarantines
+};
+
+// The trials for which a request with these parts may be sent although it must
+// run in the end and is never the cause of crashes by itself. nullopt if one of
+// them is not due, or if there are none.
+auto FindDueTrials(const CrashSuspects& aSuspects,
+                   std::span<const PartHash> aParts,
+                   const SuspectPolicy& aPolicy,
+                   TimePoint aNow) -> std::optional<DueTrials>;
+
+// Uses up the trials of all quarantines that have one of these parts.
+auto TakeTrials(CrashSuspects& aSuspects,
+                std::span<const PartHash> aParts,
+                const SuspectPolicy& aPolicy,
+                TimePoint aNow) -> void;
+
+// Makes them due again, for a request that no endpoint has run.
+auto ReturnTrials(CrashSuspects& aSuspects,
+                  std::span<const PartHash> aParts,
+                  const SuspectPolicy& aPolicy,
+                  TimePoint aNow) -> void;
+
 // Forgets expired evidence and quarantines.
 auto ForgetExpired(CrashSuspects& aSuspects,
                    const SuspectPolicy& aPolicy,
--- a/mangovalve/routing/crash_suspects_test.cc
+++ b/mangovalve/routing/crash_suspects_test.cc
@@ -615,6 +615,33 @@
   CHECK(Tries(host, at, { kFirst, kSession }));
 }
 
+// Guards against an item with parts of several quarantines that is never tried,
+// and against a trial of one of them that is no trial of the others.
+TEST_CASE("an item takes the trials of all quarantines that it has parts of")
+{
+  Host host;
+  const auto second = CrashTimes(host, 4, kStart, { kDeadly });
+  CrashTimes(host, 4, second, { kFirst, kSession });
+  const PartSet parts{ kDeadly, kFirst, kSession };
+  const auto due = [&](TimePoint aAt) {
+    return FindDueTrials(host.mSuspects, parts, kPolicy, aAt);
+  };
+  const auto deadline = second + kPolicy.mFirstTrial;
+  CHECK_FALSE(due(deadline - milliseconds(1)));
+  REQUIRE(due(deadline));
+  CHECK(due(deadline)->mSince == deadline);
+  CHECK(due(deadline)->mParts == parts);
+  TakeTrials(host.mSuspects, parts, kPolicy, deadline);
+  CHECK_FALSE(due(deadline));
+  CHECK_FALSE(Tries(host, deadline, { kDeadly }));
+  CHECK_FALSE(Tries(host, deadline, { kFirst, kSession }));
+  // An endpoint has refused the item without running it.
+  ReturnTrials(host.mSuspects, parts, kPolicy, deadline);
+  CHECK(due(deadline));
+  Crash(host, deadline, parts);
+  CHECK_FALSE(due(deadline + seconds(10)));
+}
+
 // Sends a request with the deadly part to each host each 100 ms. The hosts have
 // equal views; evidence of a trial's crash reaches them aDelay later. Returns
 // the number of trials within aLength of the first crash.
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -630,6 +630,40 @@
   return nullptr;
 }
 
+auto TrialRole(const PartSet& aSet) -> std::string
+{
+  return absl::StrCat("trial ", absl::StrJoin(aSet, " "));
+}
+
+// The host that tries requests with the quarantined set.
+auto TrialHost(const ServingState& aState, const PartSet& aSet) -> std::string
+{
+  std::vector<std::string> hosts{ aState.mHost };
+  for (const auto& [host, peer] : aState.mFleet.mPeers) {
+    if (!peer.mUnresponsive) {
+      hosts.push_back(host);
+    }
+  }
+  return RendezvousOwner(TrialRole(aSet), hosts);
+}
+
+// Number of hosts that try the set before this one: the one that tries
+// requests, and the owners of job partitions that are preferred to this one.
+auto ItemTrialTurn(const ServingState& aState, const PartSet& aSet)
+  -> std::size_t
+{
+  const auto role = TrialRole(aSet);
+  const auto first = TrialHost(aState, aSet);
+  const auto own = RendezvousScore(role, aState.mHost);
+  std::size_t before = 0;
+  for (const auto& [host, peer] : aState.mFleet.mPeers) {
+    const auto owner = !peer.mUnresponsive && !peer.mLast.partitions.empty();
+    const auto preferred = owner && RendezvousScore(role, host) > own;
+    before += preferred || host == first ? 1 : 0;
+  }
+  return before;
+}
+
 } // namespace
 
 auto ActivateDocument(ServingState& aState,
@@ -909,14 +943,7 @@
 
 auto TriesQuarantine(const ServingState& aState, const PartSet& aSet) -> bool
 {
-  std::vector<std::string> hosts{ aState.mHost };
-  for (const auto& [host, peer] : aState.mFleet.mPeers) {
-    if (!peer.mUnresponsive) {
-      hosts.push_back(host);
-    }
-  }
-  const auto role = absl::StrCat("trial ", absl::StrJoin(aSet, " "));
-  return RendezvousOwner(role, hosts) == aState.mHost;
+  return TrialHost(aState, aSet) == aState.mHost;
 }
 
 auto MayTakeTrial(const ServingState& aState,
@@ -939,6 +966,19 @@
                    aNow);
 }
 
+auto MayTryItem(const ServingState& aState,
+                std::span<const PartHash> aParts,
+                TimePoint aNow) -> bool
+{
+  const auto& policy = aState.mSuspectPolicy;
+  const auto due = FindDueTrials(aState.mSuspects, aParts, policy, aNow);
+  if (!due) {
+    return false;
+  }
+  const auto turn = static_cast<int>(ItemTrialTurn(aState, due->mParts));
+  return aNow >= due->mSince + turn * policy.mSpreadTime;
+}
+
 auto TakeSlotOf(ServicePool& aPool, const Endpoint& aEndpoint) -> void
 {
   const auto share = aPool.mShares.find(aEndpoint.mRegistration.mDomain);
--- a/mangovalve/serving/state_test.cc
+++ b/mangovalve/serving/state_test.cc
@@ -2,6 +2,7 @@
 #include "mangovalve/serving/state.h"
 
 #include <deque>
+#include <set>
 
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
@@ -147,6 +148,47 @@
   CHECK_FALSE(TakeTrial(state, set, at));
 }
 
+// Guards against owners that all try their items of a quarantined set at once,
+// and against one that never may.
+TEST_CASE("owners try the items of a quarantined set one after the other")
+{
+  asio::io_context loop;
+  const auto since = TimePoint(std::chrono::hours(1));
+  const PartSet set{ 7 };
+  std::vector<std::string> owners;
+  for (auto i = 0; i < 8; ++i) {
+    owners.push_back(absl::StrCat("10.0.0.", i, ":7000"));
+  }
+  std::set<Duration> delays;
+  for (const auto& owner : owners) {
+    ServingState state(loop);
+    state.mHost = owner;
+    for (const auto& peer : owners) {
+      if (peer != owner) {
+        state.mFleet.mPeers[peer].mUnresponsive = false;
+        state.mFleet.mPeers[peer].mLast.partitions.emplace_back(1, 0);
+      }
+    }
+    // It owns no partition, and may try requests only.
+    state.mFleet.mPeers["10.0.1.1:7000"].mUnresponsive = false;
+    REQUIRE(AdoptQuarantine(state.mSuspects,
+                            { .mParts = set,
+                              .mSince = since,
+                              .mUntil = since + std::chrono::hours(1) },
+                            state.mSuspectPolicy,
+                            since));
+    auto at = since + state.mSuspectPolicy.mFirstTrial;
+    CHECK_FALSE(MayTryItem(state, set, at - std::chrono::milliseconds(1)));
+    while (!MayTryItem(state, set, at)) {
+      at += state.mSuspectPolicy.mSpreadTime;
+    }
+    delays.insert(at - since);
+  }
+  CHECK(delays.size() == owners.size());
+  const SuspectPolicy policy;
+  CHECK(*delays.rbegin() <= policy.mFirstTrial + 8 * policy.mSpreadTime);
+}
+
 // Hosts of several domains in virtual time. One team is offered requests at a
 // multiple of its rate, most of them at a few hosts.
 class OverloadedFleet
