--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -86,7 +86,7 @@
     std::uint32_t mEvents = 0; // received by this run
     bool mAnswerBegun = false; // by the endpoint
     bool mTrial = false;       // of the quarantines of its item
-    bool mMayHaveRun = false;  // the endpoint has not stated that it hasn't
+    bool mMayHaveRun = false;  // it was sent, and not refused as not run
     // When the endpoint ended the connection before it had begun to answer.
     std::optional<TimePoint> mLostAt;
     bool mStopped = false;
--- a/mangovalve/routing/placement.h
+++ b/mangovalve/routing/placement.h
@@ -122,8 +122,8 @@
                 const PlacementPolicy& aPolicy,
                 Random& aRandom) -> std::optional<std::size_t>;
 
-// Slots that a batch item leaves free on the endpoint: aSlots, but no more than
-// leave one slot to the items of an idle endpoint, or they would never run.
+// Slots that a batch item leaves free on the endpoint: aSlots, or all but one
+// if the endpoint has no more than that. An idle endpoint has room for an item.
 auto BatchHeadroom(const PlacementCandidate& aCandidate, double aSlots)
   -> double;
 
