--- a/mangovalve/batch/item_runner.h
+++ b/mangovalve/batch/item_runner.h
@@ -85,7 +85,7 @@
     TimePoint mDeadline;       // when its item may be abandoned
     std::uint32_t mEvents = 0; // received by this run
     bool mAnswerBegun = false; // by the endpoint
-    bool mTrial = false;       // of the quarantines of its item
+    bool mTrial = false;       // its item is quarantined and is tried
     bool mMayHaveRun = false;  // it was sent, and not refused as not run
     // When the endpoint ended the connection before it had begun to answer.
     std::optional<TimePoint> mLostAt;
@@ -128,12 +128,11 @@
   // be the cause.
   auto ExamineLoss(RunningItemPtr aRun) -> Task<>;
   auto IsQuarantined(const RunnableItem& aItem, TimePoint aNow) const -> bool;
-  // Likewise, unless the item may be sent as a trial now. An item is owed even
-  // if endpoints have crashed under it, and may be the only one with its parts.
+  // Whether the item is quarantined and may not be sent as a trial now.
   auto IsHeldBack(const RunnableItem& aItem, TimePoint aNow) const -> bool;
   // Uses up the trials of the run's quarantines.
   auto TakeTrial(RunningItem& aRun, TimePoint aNow) -> void;
-  // Returns them if the endpoint has not run the item.
+  // Makes the run's trials due again if the endpoint has not run the item.
   auto ReturnUnusedTrial(const RunningItem& aRun, TimePoint aNow) -> void;
   // The items of a partition to start next. Quarantined ones are held back.
   auto NextItems(const JobPartitionPtr& aPartition,
--- a/mangovalve/batch/job_lease.h
+++ b/mangovalve/batch/job_lease.h
@@ -26,7 +26,7 @@
 // Renews the lease with an answer that was received at aNow. Returns whether
 // the partitions that both this answer and the last one list were held all the
 // time in between; if not, another member may have held and changed them. A
-// valid lease doesn't prove a hold.
+// valid lease does not rule that out.
 auto RenewLease(JobLease& aLease,
                 std::uint64_t aGeneration,
                 BootTime aValidUntil,
--- a/mangovalve/routing/crash_suspects.h
+++ b/mangovalve/routing/crash_suspects.h
@@ -186,7 +186,8 @@
                 const SuspectPolicy& aPolicy,
                 TimePoint aNow) -> void;
 
-// Makes them due again, for a request that no endpoint has run.
+// Makes trials that were taken due again, because no endpoint has run the
+// request.
 auto ReturnTrials(CrashSuspects& aSuspects,
                   std::span<const PartHash> aParts,
                   const SuspectPolicy& aPolicy,
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -220,8 +220,7 @@
 
 // Whether a quarantined batch item with these parts may be sent as the trial of
 // its quarantines. Only the owner of its partition can send an item, so the
-// owners take turns: each one tries after the evidence of the trial before must
-// have reached it.
+// owners take turns, at intervals within which the evidence of a trial spreads.
 auto MayTryItem(const ServingState& aState,
                 std::span<const PartHash> aParts,
                 TimePoint aNow) -> bool;
