Log the end of a loaded partition and the events of a request

The logs could not tell the hypotheses apart: partition_owned and partition_confirmed now state the end of the partition, and the former the number of pages loaded; request states the events that the caller has received, so that a stream that was reset in the middle is told from one that never began.

--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -84,7 +84,9 @@
              "partition_owned",
              { { "partition", absl::StrCat(mPartition) },
                { "generation", absl::StrCat(mGeneration) },
-               { "jobs", absl::StrCat(mTable.mJobs.size()) } });
+               { "jobs", absl::StrCat(mTable.mJobs.size()) },
+               { "pages", absl::StrCat(mPagesLoaded) },
+               { "end", absl::StrCat(mEnd) } });
     co_await AppendQueued();
   }
   mStopped = true;
@@ -159,12 +161,14 @@
   mClockRecordedAt = Clock::now();
   const std::vector<KeyedRecord> records{ ClockRecord(mTable.mClock,
                                                       mClockRecordedAt) };
-  const auto decided = co_await AppendUntilDecided(records, mEnd);
+  const auto end = mEnd;
+  const auto decided = co_await AppendUntilDecided(records, end);
   const auto confirmed = decided == AppendResult::Durable;
   LogEvent(confirmed ? Severity::Info : Severity::Warn,
            confirmed ? "partition_confirmed" : "partition_not_confirmed",
            { { "partition", absl::StrCat(mPartition) },
-             { "generation", absl::StrCat(generation) } });
+             { "generation", absl::StrCat(generation) },
+             { "end", absl::StrCat(end) } });
   FindCounter("mangovalve_partition_confirmations_total",
               { { "result", confirmed ? "unchanged" : "lost" } })
     .Add();
@@ -204,6 +208,7 @@
 {
   std::vector<KeyedRecord> records;
   std::string after;
+  mPagesLoaded = 0;
   for (auto more = true; more;) {
     auto page = co_await mTables.mNewest(
       Table::Jobs, mPartition, after, Clock::now() + kCallTimeout);
@@ -217,6 +222,7 @@
               page->mRecords.end(),
               std::back_inserter(records));
     mEnd = page->mEnd;
+    ++mPagesLoaded;
   }
   mTable = LoadJobs(records, mFirstTime, Clock::now());
   co_return true;
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -168,6 +168,7 @@
   TimePoint mClockRecordedAt{};
   std::uint64_t mSequence = 0;
   Offset mEnd = 0; // of the partition, after the last read or append
+  std::size_t mPagesLoaded = 0; // by the last load
   // Generation of an assignment that is not confirmed yet.
   std::optional<std::uint64_t> mReassigned;
   JobTable mTable;
--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -277,6 +277,7 @@
       { "endpoint", mContext.mEndpoint },
       { "attempts", absl::StrCat(mContext.mAttempts) },
       { "refusals", absl::StrCat(mContext.mRefusals) },
+      { "events", absl::StrCat(mContext.mForwardedEvents) },
       { "domain", mContext.mDomain },
       { "work_factor",
         inputs.mWorkFactor ? absl::StrCat(*inputs.mWorkFactor) : "none" },
