Load job partitions as of one state of the store

What callers saw: a job that was accepted with 202 is answered 404 from then on, and its items never run (LOST).

Cause: a partition of more than one page is not read at once, and LoadPages() kept the end that the last page stated. If another owner fences this one and appends between two pages, that end lies behind records that the earlier pages lack. When the partition is assigned back, ConfirmOwnership() compares with this end, the store agrees, and the incomplete state counts as complete.

Change: all pages of a load must state the same end, which is the one that is confirmed; otherwise the partition is loaded again. Then the loaded records are those of one state, and an append on condition of its end proves that they are complete.

--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -207,6 +207,7 @@
 auto JobPartition::LoadPages() -> Task<bool>
 {
   std::vector<KeyedRecord> records;
+  std::optional<Offset> end;
   std::string after;
   mPagesLoaded = 0;
   for (auto more = true; more;) {
@@ -221,9 +222,22 @@
     std::move(page->mRecords.begin(),
               page->mRecords.end(),
               std::back_inserter(records));
-    mEnd = page->mEnd;
     ++mPagesLoaded;
+    end = end.value_or(page->mEnd);
+    // Another owner has fenced this one and appended: earlier pages may lack
+    // its records.
+    if (page->mEnd != *end) {
+      LogEvent(Severity::Warn,
+               "partition_changed_in_load",
+               { { "partition", absl::StrCat(mPartition) },
+                 { "generation", absl::StrCat(mGeneration) },
+                 { "pages", absl::StrCat(mPagesLoaded) },
+                 { "begin_end", absl::StrCat(*end) },
+                 { "end", absl::StrCat(page->mEnd) } });
+      co_return false;
+    }
   }
+  mEnd = *end;
   mTable = LoadJobs(records, mFirstTime, Clock::now());
   co_return true;
 }
