Give each owner of a job partition a fencing token of its own

What callers saw: a job accepted with 202, or a result, is not in the store and is gone with its owner (LOST).

Cause: the token was made of the group's generation and the start of the process. A partition that stops without a new assignment, for instance because the store refuses a result's records, is opened again by the same process under the same generation. The store knows the token and the first sequence numbers, takes the appends for repetitions and confirms them without writing them; beyond five of them it refuses each one, and the partition stops again and again.

Evidence: 'a partition that is loaded again loses no job that it accepts' failed before: the job was accepted and its record is not in the store.

Change: the low bits of the token are the time of the opening, advanced by the boot clock, so that it grows from one opening to the next and a step of the wall clock changes nothing. Openings are at least one renewal (0.6 s) apart, six units of the token.

--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -25,7 +25,7 @@
 // appends queued behind it for too long.
 constexpr std::size_t kMaxBytesPerAppend = 512UL << 10U;
 
-// The low bits of a token hold the start of the process in units of 100 ms.
+// The low bits of a token hold the time of the opening in units of 100 ms.
 // Tokens then stay below 2^53, the largest integer that JSON numbers hold
 // exactly, for 131,072 generations.
 constexpr auto kStartBits = 36U;
@@ -47,10 +47,10 @@
 
 } // namespace
 
-auto FenceToken(std::uint64_t aGeneration, WallTime aStartedAt) -> std::uint64_t
+auto FenceToken(std::uint64_t aGeneration, WallTime aOpenedAt) -> std::uint64_t
 {
   const auto start =
-    static_cast<std::uint64_t>(aStartedAt.time_since_epoch() / kStartUnit);
+    static_cast<std::uint64_t>(aOpenedAt.time_since_epoch() / kStartUnit);
   return (aGeneration << kStartBits) |
          (start & ((std::uint64_t{ 1 } << kStartBits) - 1));
 }
@@ -59,15 +59,15 @@
                            const TablePorts& aTables,
                            std::uint32_t aPartition,
                            std::uint64_t aGeneration,
-                           WallTime aStartedAt,
+                           WallTime aOpenedAt,
                            ProgressSource aFetchProgress)
   : mLoop(aLoop)
   , mTables(aTables)
   , mPartition(aPartition)
   , mGeneration(aGeneration)
-  , mStartedAt(aStartedAt)
-  , mToken(FenceToken(aGeneration, aStartedAt))
-  , mFirstTime(aStartedAt.time_since_epoch())
+  , mOpenedAt(aOpenedAt)
+  , mToken(FenceToken(aGeneration, aOpenedAt))
+  , mFirstTime(aOpenedAt.time_since_epoch())
   , mFetchProgress(std::move(aFetchProgress))
   , mQueued(aLoop)
 {
@@ -156,7 +156,7 @@
 auto JobPartition::ConfirmOwnership() -> Task<bool>
 {
   const auto generation = *mReassigned;
-  mToken = FenceToken(generation, mStartedAt);
+  mToken = FenceToken(generation, mOpenedAt);
   mSequence = 0;
   mClockRecordedAt = Clock::now();
   const std::vector<KeyedRecord> records{ ClockRecord(mTable.mClock,
--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -41,13 +41,14 @@
 class JobPartition : public std::enable_shared_from_this<JobPartition>
 {
 public:
-  // aStartedAt: start of this process, for the fencing token. aFetchProgress
-  // may be empty; then no progress is imported.
+  // aOpenedAt: for the fencing token, later than that of any owner of the
+  // partition that this process had before. aFetchProgress may be empty; then
+  // no progress is imported.
   JobPartition(asio::io_context& aLoop,
                const TablePorts& aTables,
                std::uint32_t aPartition,
                std::uint64_t aGeneration,
-               WallTime aStartedAt,
+               WallTime aOpenedAt,
                ProgressSource aFetchProgress = nullptr);
 
   // Fences former owners, loads the jobs, then appends records until this owner
@@ -164,7 +165,7 @@
   const TablePorts& mTables;
   std::uint32_t mPartition;
   std::uint64_t mGeneration;
-  WallTime mStartedAt;
+  WallTime mOpenedAt;
   std::uint64_t mToken; // fencing token, see FenceToken
   JobTime mFirstTime;   // of the partition if the store knows none
   TimePoint mClockRecordedAt{};
@@ -185,13 +186,13 @@
   std::vector<Wakeup*> mWaiters; // tasks that wait for durable records
 };
 
-// The fencing token of an owner: its generation in the high bits, the start
-// time of its process in the low bits. A restarted process can rejoin the group
-// as the same member with the same generation. If it also had the token of its
-// predecessor, the store would treat its first appends as duplicates and
-// confirm them without writing them.
-auto FenceToken(std::uint64_t aGeneration, WallTime aStartedAt)
-  -> std::uint64_t;
+// The fencing token of an owner: its generation in the high bits, the time at
+// which it opened the partition in the low bits, in units of 100 ms. A process
+// can open a partition several times under one generation, and a restarted
+// process can rejoin the group as the same member with the same generation. If
+// two owners had the same token, the store would treat the first appends of the
+// second one as duplicates and confirm them without writing them.
+auto FenceToken(std::uint64_t aGeneration, WallTime aOpenedAt) -> std::uint64_t;
 
 using JobPartitionPtr = std::shared_ptr<JobPartition>;
 
--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -117,6 +117,12 @@
                                                                : nullptr;
 }
 
+auto JobService::OpeningTime() const -> WallTime
+{
+  return mStartedAt +
+         std::chrono::floor<milliseconds>(BootNow() - mBootTimeAtStart);
+}
+
 auto JobService::UncertainOutcome(const JobPartition& aPartition) const
   -> std::optional<JobOutcome>
 {
@@ -218,7 +224,7 @@
         mTables,
         number,
         aAssignment.mGeneration,
-        mStartedAt,
+        OpeningTime(),
         [this](std::uint32_t aPartition, std::uint64_t aGeneration) {
           return FetchProgress(aPartition, aGeneration);
         });
--- a/mangovalve/batch/job_service.h
+++ b/mangovalve/batch/job_service.h
@@ -123,6 +123,10 @@
                    JobOperation aVerb,
                    wire::JobQueryT aQuery) -> Task<JobResponse>;
   auto OwnPartition(std::uint32_t aPartition) const -> JobPartitionPtr;
+  // Time for the fencing token of a partition that is opened now. Increases
+  // from one renewal of the membership to the next, whatever happens to the
+  // wall clock.
+  auto OpeningTime() const -> WallTime;
   auto RunnablePartitions() const -> std::vector<JobPartitionPtr>;
   auto Owners() const -> std::size_t;
   auto CallDeadline(const JobRequest& aJobRequest) const -> TimePoint;
@@ -140,6 +144,7 @@
   std::map<std::uint32_t, FormerPartition> mFormer; // disjoint from mPartitions
   JobLease mLease;
   WallTime mStartedAt = WallNow();
+  BootTime mBootTimeAtStart = BootNow();
   bool mLeaving = false;
 };
 
