Answer no empty page for a partition that was left

What callers saw: nothing at a position of a job that another host had listed already (LOST).

Cause: an owner that loses its partition ends the long polls on it, and answered them with the results that it knows. It checked its membership and the confirmation, but not whether it still owned the partition. The class is that of partition-returned: a state is used after what made it valid has ended, here across a suspension.

Evidence: 'a poll for results that outlasts the ownership says nothing' got 200 with an empty page before, and gets 503 now.

--- a/mangovalve/batch/job_service.cc
+++ b/mangovalve/batch/job_service.cc
@@ -129,8 +129,10 @@
   if (!LeaseValid()) {
     return JobOutcome::NotApplied;
   }
-  return aPartition.Confirmed() ? std::nullopt
-                                : std::optional(JobOutcome::NotOwner);
+  // The partition may have been left while the call waited.
+  return aPartition.Active() && aPartition.Confirmed()
+           ? std::nullopt
+           : std::optional(JobOutcome::NotOwner);
 }
 
 // All loaded partitions while the lease is valid and they are confirmed.
