Let streams that have begun wait for a slot until their deadline

What callers saw: a stream is reset in the middle although its caller would have waited and other endpoints served (LOST beside planned work: silence of an endpoint is no reason to end an answer sooner).

Cause: a stream whose endpoint broke off or was left for its silence asks for another slot like a new request. Nothing but a reset of the connection can follow. The class: a decision for requests that may return, applied to one that can't.

That the users' LOST was this is not shown.

Change: such a request waits until its deadline, before all others of its priority, whatever the estimate and its team's share. The look for a free slot elsewhere, before an endpoint is left, takes the request's size into account like the placement that follows.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -487,6 +487,7 @@
   request.mTypicalRunTime = route.mLatencyObjective;
   request.mWaitDeadline = WaitDeadline(aNow);
   request.mTeam = mContext.mTeam;
+  request.mBegun = mContext.mHeadSent;
   // A refusal after work was done would waste it.
   if (!mContext.mHeadSent && mContext.mAttempts + mContext.mRefusals == 0) {
     request.mFirstEventDue = arrivedAt + route.mLatencyObjective;
@@ -544,10 +545,12 @@
       co_return;
     }
     mContext.mTried.push_back(mContext.mEndpoint);
+    const auto refused = step == StepResult::NotRun;
     const auto retry =
-      MayContinue() && ((step == StepResult::NotRun &&
-                         mContext.mRefusals < mPolicy.mMaxRefusals) ||
-                        (step == StepResult::Failed && MayRetryAfterRun()));
+      MayContinue() &&
+      ((refused &&
+        (mContext.mHeadSent || mContext.mRefusals < mPolicy.mMaxRefusals)) ||
+       (step == StepResult::Failed && MayRetryAfterRun()));
     if (!retry) {
       const auto notRun = mContext.mAttempts == 0;
       const auto until = QuarantinedUntil();
@@ -560,6 +563,11 @@
       co_await Finish(Failure(), kRefusedRetryAfter);
       co_return;
     }
+    if (refused && mContext.mHeadSent) {
+      co_await SleepUntil(
+        std::min(Deadline(), Clock::now() + mPolicy.mRefusedPause));
+      mContext.mTried.clear();
+    }
   }
 }
 
@@ -756,7 +764,7 @@
   }
   auto tried = mContext.mTried;
   tried.push_back(aEndpoint.mRegistration.mId);
-  if (!HasFreeSlot(mState, mContext.mService, tried)) {
+  if (!HasFreeSlot(mState, mContext.mService, tried, SizeOf(mContext))) {
     return now + mPolicy.mSilenceCheckInterval;
   }
   if (!mContext.mFailing) {
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -253,7 +253,7 @@
                                 aPool.mClasses[aRequest.mPriority],
                                 aNow);
   const auto team = StableHash(aRequest.mTeam);
-  return Yields(shares, team, 0) &&
+  return !aRequest.mBegun && Yields(shares, team, 0) &&
          Yields(shares, team, FreeSlots(aState, aPool, aNow));
 }
 
@@ -467,11 +467,13 @@
 
 auto HasFreeSlot(ServingState& aState,
                  const std::string& aService,
-                 std::span<const std::string> aTried) -> bool
+                 std::span<const std::string> aTried,
+                 const RequestSize& aSize) -> bool
 {
   const auto found = aState.mPools.find(aService);
   return found != aState.mPools.end() && found->second.mQueue.empty() &&
-         PlaceRequest(aState, found->second, aTried, Clock::now()) != nullptr;
+         PlaceRequest(aState, found->second, aTried, Clock::now(), aSize) !=
+           nullptr;
 }
 
 auto AcquireSlot(ServingState& aState, SlotRequest aRequest) -> Task<Slot>
@@ -499,22 +501,22 @@
       co_return Slot{ std::move(endpoint), {} };
     }
   }
-  QueuedRequest waiter{ aRequest.mPriority,
-                        aState.mNextWaiter++,
-                        nullptr,
-                        StableHash(aRequest.mTeam),
-                        LatestStart(pool, aRequest) };
+  QueuedRequest waiter{
+    aRequest.mPriority,         aState.mNextWaiter++,        nullptr,
+    StableHash(aRequest.mTeam), LatestStart(pool, aRequest), aRequest.mBegun
+  };
   const auto estimate =
     EstimateWait(aState, pool, aRequest, AheadOfNew(pool, waiter, now), now);
   Refusal refusal;
-  if (!MayWait(estimate) && estimate.mLimited.mEndpoints == 0) {
+  const auto begun = aRequest.mBegun;
+  if (!begun && !MayWait(estimate) && estimate.mLimited.mEndpoints == 0) {
     refusal.mReturn.mAt = now + kNoEndpointRetryAfter;
     LogNoSlot(aState, aRequest, estimate, refusal);
     co_return Slot{ nullptr, kNoEndpointRetryAfter };
   }
   refusal.mCause =
     yields ? RefusalCause::OverShare : RefusalCause::ExpectedWait;
-  if (MayWait(estimate) && ShouldWait(estimate, aRequest, now)) {
+  if (begun || (MayWait(estimate) && ShouldWait(estimate, aRequest, now))) {
     const auto outcome = co_await WaitInQueue(aState, pool, aRequest, waiter);
     if (outcome.mEndpoint || aRequest.mCaller->Disconnected()) {
       co_return Slot{ outcome.mEndpoint, {} };
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -35,6 +35,10 @@
   // When a refused caller must return at the latest.
   TimePoint mReturnBy = TimePoint::max();
   RequestSize mSize;
+  // The caller has received a part of the answer, so that a refusal would reset
+  // its connection. The request waits until mWaitDeadline, before all others of
+  // its priority.
+  bool mBegun = false;
 };
 
 struct Slot
@@ -44,13 +48,16 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
-// Waits for an endpoint with a free slot, or refuses the request.
+// Waits for an endpoint with a free slot, or refuses the request. A request
+// that has begun is refused only if its service has no endpoints that may get
+// any.
 auto AcquireSlot(ServingState& aState, SlotRequest aRequest) -> Task<Slot>;
 
 // Whether an endpoint outside aTried has a slot for an online request now.
 auto HasFreeSlot(ServingState& aState,
                  const std::string& aService,
-                 std::span<const std::string> aTried) -> bool;
+                 std::span<const std::string> aTried,
+                 const RequestSize& aSize) -> bool;
 
 // Expected wait of a new request when all endpoints have limits, behind aAhead
 // waiting requests of this host. aLimited must allow this host a part.
--- a/mangovalve/online/slot_queue_test.cc
+++ b/mangovalve/online/slot_queue_test.cc
@@ -18,6 +18,7 @@
   // Of the requests.
   std::string mTeam;
   std::optional<milliseconds> mObjective;
+  bool mBegun = false;
 
   explicit FullPool(double aMeanSeconds)
   {
@@ -51,6 +52,7 @@
     request.mWaitDeadline = Clock::now() + aPatience;
     request.mTypicalRunTime = aUsualRun;
     request.mTeam = mTeam;
+    request.mBegun = mBegun;
     if (mObjective) {
       const auto arrivedAt = request.mCaller->mArrivedAt;
       request.mFirstEventDue = arrivedAt + *mObjective;
@@ -73,6 +75,34 @@
   CHECK(pool.mState.mPools["llm"].mQueue.empty());
 }
 
+TEST_CASE("a stream that has begun waits for its slot before all others")
+{
+  // Guards against a stream that is reset in the middle because the estimate
+  // for new requests gives it no slot.
+  Slot other;
+  Slot slot;
+  FullPool pool(1);
+  auto& service = pool.mState.mPools["llm"];
+  pool.Ask(milliseconds(2000), other, milliseconds(1000));
+  REQUIRE(service.mQueue.size() == 1);
+  service.mMeanSeconds = 200; // no chance of a slot in time
+  pool.mBegun = true;
+  pool.Ask(milliseconds(2000), slot);
+  REQUIRE(service.mQueue.size() == 2);
+  service.mEndpoints[0]->mOwnDomain = true;
+  service.mEndpoints[0]->mOwnInFlight.mOnline = 1;
+  const auto deadline = Clock::now() + milliseconds(1500);
+  while (!slot.mEndpoint && Clock::now() < deadline) {
+    WakeFirstWaiterOfEachPool(pool.mState);
+    pool.mLoop.restart();
+    pool.mLoop.run_for(milliseconds(10));
+    CHECK_FALSE(other.mEndpoint);
+  }
+  CHECK(slot.mEndpoint);
+  pool.mLoop.restart();
+  pool.mLoop.run_for(milliseconds(2500)); // until both have ended
+}
+
 TEST_CASE("a restarted daemon refuses requests that it can't serve in time")
 {
   // Guards against an expected wait of zero before the first run is measured:
--- a/mangovalve/serving/state.cc
+++ b/mangovalve/serving/state.cc
@@ -1163,6 +1163,9 @@
   if (aLeft.mPriority != aRight.mPriority) {
     return aLeft.mPriority < aRight.mPriority;
   }
+  if (aLeft.mBegun != aRight.mBegun) {
+    return aLeft.mBegun;
+  }
   const auto found = aPool.mClasses.find(aLeft.mPriority);
   const auto rank = [&](const QueuedRequest& aWaiter) {
     WaiterRank result;
