Bound the bytes that wait unread in the sockets of callers

What operators saw: clients that don't behave ended a process, which ran out of memory.

Cause: the account counts what the server has read. What the system has received for a connection counts as memory of the process too, and each socket grew its buffer to more than 100 KB: bodies that arrive faster than they are read, and bodies behind a request that waits.

Change: the listening sockets set SO_RCVBUF to 16 KiB, and the number of connections is bounded so that their buffers fill no more than may be held.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -239,6 +239,11 @@
   if (!error) {
     mAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
   }
+  if (!error) {
+    // Accepted connections inherit it, and the system does not raise it.
+    mAcceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error);
+  }
   if (!error) {
     mAcceptor.bind(*endpoint, error);
   }
--- a/mangovalve/loop/memory_account.cc
+++ b/mangovalve/loop/memory_account.cc
@@ -78,9 +78,16 @@
   limits.mHeldBytes = std::max(aMemoryTotal / kMemoryPart, kLeastHeldBytes);
   limits.mConnections = std::clamp(
     aDescriptors / kDescriptorPart, kLeastConnections, kMostConnections);
+  BoundReceiveBuffers(limits);
   return limits;
 }
 
+auto BoundReceiveBuffers(MemoryLimits& aLimits) -> void
+{
+  aLimits.mConnections =
+    std::min(aLimits.mConnections, aLimits.mHeldBytes / kReceiveBufferBytes);
+}
+
 auto LimitsOfThisMachine() -> MemoryLimits
 {
   // Assumed if the system does not tell.
--- a/mangovalve/loop/memory_account.h
+++ b/mangovalve/loop/memory_account.h
@@ -33,6 +33,11 @@
 };
 constexpr std::size_t kHeldKinds = 6;
 
+// Bytes that the system receives for one connection before the server reads
+// them. They count as memory of the process, but not in the account, so all
+// connections together may have as many as the account holds.
+constexpr std::size_t kReceiveBufferBytes = 16UL << 10U;
+
 struct MemoryLimits
 {
   std::size_t mHeldBytes = 64UL << 20U;
@@ -52,6 +57,10 @@
 auto LimitsFor(std::uint64_t aMemoryTotal, std::uint64_t aDescriptors)
   -> MemoryLimits;
 
+// Lowers the number of connections until their receive buffers fill at most as
+// many bytes as may be held.
+auto BoundReceiveBuffers(MemoryLimits& aLimits) -> void;
+
 // The same for this machine.
 auto LimitsOfThisMachine() -> MemoryLimits;
 
--- a/mangovalve/serving/daemon.cc
+++ b/mangovalve/serving/daemon.cc
@@ -767,6 +767,7 @@
   };
   lower(limits.mHeldBytes, mSettings.mHeldBytes);
   lower(limits.mConnections, mSettings.mConnections);
+  BoundReceiveBuffers(limits);
   if (mSettings.mHeaderLines != 0) {
     limits.mHeaderLines = mSettings.mHeaderLines;
   }
