Let streams that have begun use tried endpoints rather than none

Change: it prefers endpoints that it has not tried, and takes any other one with a slot if these have none. After a refusal, the pause comes before the look at the deadline and at the caller.

--- a/mangovalve/online/relay.cc
+++ b/mangovalve/online/relay.cc
@@ -546,6 +546,10 @@
     }
     mContext.mTried.push_back(mContext.mEndpoint);
     const auto refused = step == StepResult::NotRun;
+    if (refused && mContext.mHeadSent) {
+      co_await SleepUntil(
+        std::min(Deadline(), Clock::now() + mPolicy.mRefusedPause));
+    }
     const auto retry =
       MayContinue() &&
       ((refused &&
@@ -563,11 +567,6 @@
       co_await Finish(Failure(), kRefusedRetryAfter);
       co_return;
     }
-    if (refused && mContext.mHeadSent) {
-      co_await SleepUntil(
-        std::min(Deadline(), Clock::now() + mPolicy.mRefusedPause));
-      mContext.mTried.clear();
-    }
   }
 }
 
--- a/mangovalve/online/relay.h
+++ b/mangovalve/online/relay.h
@@ -70,10 +70,9 @@
   // reset it would be unknown whether the request ran.
   Duration mMaxIdleTime = std::chrono::milliseconds(500);
   // Number of endpoints that may refuse a request before the caller is refused.
-  // One that has begun to receive an answer is not refused.
+  // Does not apply to a stream that has begun.
   std::uint32_t mMaxRefusals = 4;
-  // Pause of a stream that has begun after an endpoint has refused it. Then all
-  // endpoints may get it again.
+  // Pause of a stream that has begun after an endpoint has refused it.
   Duration mRefusedPause = std::chrono::milliseconds(100);
 };
 
--- a/mangovalve/online/slot_queue.cc
+++ b/mangovalve/online/slot_queue.cc
@@ -91,6 +91,11 @@
   const auto now = Clock::now();
   auto endpoint =
     PlaceRequest(aState, aPool, aRequest.mTried, now, aRequest.mSize);
+  if (!endpoint && aRequest.mBegun) {
+    // A tried endpoint is better than none, and a slot that this request does
+    // not use would be kept from those behind it.
+    endpoint = PlaceRequest(aState, aPool, {}, now, aRequest.mSize);
+  }
   if (endpoint) {
     RecordSent(endpoint->mStatements->mLimit, now);
     TakeSlotOf(aPool, *endpoint);
--- a/mangovalve/online/slot_queue.h
+++ b/mangovalve/online/slot_queue.h
@@ -23,7 +23,9 @@
   std::string mId; // for the log
   std::string mService;
   int mPriority = 0;
-  std::span<const std::string> mTried; // endpoints to exclude
+  // Endpoints to exclude; a request that has begun uses them if no other one
+  // has a slot.
+  std::span<const std::string> mTried;
   // Assumed time for which a request holds a slot, until it has been measured.
   Duration mTypicalRunTime;
   TimePoint mWaitDeadline;
@@ -48,9 +50,8 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
-// Waits for an endpoint with a free slot, or refuses the request. A request
-// that has begun is refused only if its service has no endpoints that may get
-// any.
+// Waits for an endpoint with a free slot, or refuses the request. One that has
+// begun is refused only if it can't be served at all.
 auto AcquireSlot(ServingState& aState, SlotRequest aRequest) -> Task<Slot>;
 
 // Whether an endpoint outside aTried has a slot for an online request now.
--- a/mangovalve/serving/state.h
+++ b/mangovalve/serving/state.h
@@ -92,7 +92,9 @@
   std::uint64_t mTeam = 0; // hash of the name
   // A later start is too late for the objective.
   TimePoint mLatestStart = TimePoint::max();
-  bool mBegun = false; // the caller has received a part of the answer
+  // The caller has received a part of the answer: served before the others of
+  // its priority.
+  bool mBegun = false;
 
   auto operator<(const QueuedRequest& aOther) const -> bool
   {
