Confirm no append that the store took for a repetition

A review of the tokens by opening: two owners can still have the same token, after a step of the clock together with the steps of AcquireFence(), or if a process restarts within 0.1 s. An answer whose end lies before the end that the append must have is the answer to an earlier one; the partition stops then and is opened again under a later token. 'an append that the store takes for a repetition is not confirmed' guards it.

A load that another owner has changed stops the partition as well, since only a new fence ends the appends of that owner.

--- a/mangovalve/batch/job_partition.cc
+++ b/mangovalve/batch/job_partition.cc
@@ -28,11 +28,11 @@
 // The low bits of a token hold the time of the opening in units of 100 ms.
 // Tokens then stay below 2^53, the largest integer that JSON numbers hold
 // exactly, for 131,072 generations.
-constexpr auto kStartBits = 36U;
-constexpr auto kStartUnit = std::chrono::milliseconds(100);
+constexpr auto kTimeBits = 36U;
+constexpr auto kTimeUnit = std::chrono::milliseconds(100);
 
 // Increment of the token after an attempt was fenced by a process whose clock
-// was ahead: about seven minutes in units of kStartUnit.
+// was ahead: about seven minutes in units of kTimeUnit.
 constexpr std::uint64_t kFenceStep = 4096;
 constexpr int kFenceAttempts = 3;
 
@@ -49,10 +49,10 @@
 
 auto FenceToken(std::uint64_t aGeneration, WallTime aOpenedAt) -> std::uint64_t
 {
-  const auto start =
-    static_cast<std::uint64_t>(aOpenedAt.time_since_epoch() / kStartUnit);
-  return (aGeneration << kStartBits) |
-         (start & ((std::uint64_t{ 1 } << kStartBits) - 1));
+  const auto opened =
+    static_cast<std::uint64_t>(aOpenedAt.time_since_epoch() / kTimeUnit);
+  return (aGeneration << kTimeBits) |
+         (opened & ((std::uint64_t{ 1 } << kTimeBits) - 1));
 }
 
 JobPartition::JobPartition(asio::io_context& aLoop,
@@ -146,8 +146,9 @@
     if (set == AppendResult::Durable) {
       co_return true;
     }
-    // If the clock was set back, the previous process may have a later start
-    // time and so a higher token. Tokens of later generations are still higher.
+    // If the clock was set back, the previous process may have opened the
+    // partition at a later time and so have a higher token. Tokens of later
+    // generations are still higher.
     mToken += kFenceStep;
   }
   co_return false;
@@ -225,15 +226,16 @@
     ++mPagesLoaded;
     end = end.value_or(page->mEnd);
     // Another owner has fenced this one and appended: earlier pages may lack
-    // its records.
+    // its records. Opening the partition again renews the fence.
     if (page->mEnd != *end) {
       LogEvent(Severity::Warn,
                "partition_changed_in_load",
                { { "partition", absl::StrCat(mPartition) },
                  { "generation", absl::StrCat(mGeneration) },
                  { "pages", absl::StrCat(mPagesLoaded) },
-                 { "begin_end", absl::StrCat(*end) },
+                 { "first_end", absl::StrCat(*end) },
                  { "end", absl::StrCat(page->mEnd) } });
+      mStopped = true;
       co_return false;
     }
   }
@@ -262,6 +264,15 @@
                       kind == TableErrorKind::Sequence ||
                       kind == TableErrorKind::Moved ||
                       kind == TableErrorKind::Rejected);
+    if (result && *result < mEnd + aRecords.size()) {
+      // The answer to an earlier append under the same token.
+      LogEvent(Severity::Error,
+               "append_not_written",
+               { { "partition", absl::StrCat(mPartition) },
+                 { "end", absl::StrCat(mEnd) },
+                 { "answered", absl::StrCat(*result) } });
+      co_return AppendResult::Stopped;
+    }
     if (result) {
       mSequence = sequence + 1;
       mEnd = *result;
--- a/mangovalve/batch/job_partition_test.cc
+++ b/mangovalve/batch/job_partition_test.cc
@@ -184,7 +184,7 @@
     if (aPages != 4) {
       return;
     }
-    // The jobs of this record's key have been read by now.
+    // The page that would hold this job has been read.
     const auto job = MakeJob(MemoryStore::JobOf("A"));
     const auto records = JobRecords(*job, 256UL << 10U);
     const auto token = FenceToken(kGeneration + 2, WallNow());
@@ -198,9 +198,32 @@
            (partition->Active() && partition->Confirmed());
   });
   REQUIRE(store.IsStored("A"));
-  // An owner that has stopped loads the partition again.
-  CHECK((partition->Stopped() ||
-         FindJob(partition->Jobs(), kTeam, "A") != nullptr));
+  if (partition->Stopped()) { // it is opened again then
+    partition = store.Open(kGeneration + 3, WallNow());
+    store.RunUntil([&] { return partition->Active(); });
+  }
+  for (const auto* id : { "A", "a", "b", "c", "d" }) {
+    CHECK(FindJob(partition->Jobs(), kTeam, id) != nullptr);
+  }
+}
+
+TEST_CASE("an append that the store takes for a repetition is not confirmed")
+{
+  // Guards against an accepted job that is in no record, if two owners have the
+  // same fencing token, for instance after a step of the clock.
+  MemoryStore store;
+  const auto openedAt = WallNow();
+  const auto before = store.Open(kGeneration, openedAt);
+  store.RunUntil([&] { return before->Active(); });
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    REQUIRE(store.Submit(before, id) == JobOutcome::Done);
+  }
+  before->Stop();
+  store.RunUntil([&] { return before.use_count() == 1; });
+  const auto partition = store.Open(kGeneration, openedAt);
+  store.RunUntil([&] { return partition->Active() || partition->Stopped(); });
+  const auto outcome = store.Submit(partition, "e");
+  CHECK((outcome != JobOutcome::Done || store.IsStored("e")));
 }
 
 } // namespace
