Bound trailers of requests like their heads

Cause: the buffer of a caller's connection could grow to the limit of the head and 256 KiB.

Change: the buffer holds at most the limit of the head and one read. A document that lowers the limit no longer makes the room in the buffer wrap around.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -91,10 +91,11 @@
               beast::flat_buffer& aBuffer,
               std::size_t aBytes) -> Task<ErrorCode>
 {
-  const auto room = aBuffer.max_size() - aBuffer.size();
-  if (room == 0) {
+  // A new document may have lowered the limit.
+  if (aBuffer.size() >= aBuffer.max_size()) {
     co_return ErrorCode(http::error::buffer_overflow);
   }
+  const auto room = aBuffer.max_size() - aBuffer.size();
   ErrorCode error;
   const auto count = co_await aStream.async_read_some(
     aBuffer.prepare(std::min(aBytes, room)), CaptureError(error));
@@ -354,8 +355,9 @@
   auto& caller = *aCaller;
   auto& holder = caller.mHolder;
   holder.mProgress.mServed = false;
-  // Bounds what the parser's own limits leave open, such as trailers.
-  caller.mBuffer.max_size(limits.mMaxHeaderBytes + kMaxBufferBytes);
+  // Bounds what the parser's own limits leave open, such as trailers, like the
+  // head.
+  caller.mBuffer.max_size(limits.mMaxHeaderBytes + kBodyReadBytes);
   std::optional<RequestParser> parser(std::in_place);
   parser->LimitHead(limits.mMaxHeaderBytes,
                     mAccount != nullptr ? mAccount->mLimits.mHeaderLines
