Receive buffers of 12 KiB, so that the smallest host keeps its connections

With 16 KiB the bound on the buffers lowered the connections of a host with 120 MB and 4,100 descriptors from 2,050 to 1,831, against memory_account_test. With 12 KiB all hosts on the users' pages with that many descriptors keep half of them.

--- a/mangovalve/loop/memory_account.h
+++ b/mangovalve/loop/memory_account.h
@@ -33,10 +33,11 @@
 };
 constexpr std::size_t kHeldKinds = 6;
 
-// Bytes that the system receives for one connection before the server reads
-// them. They count as memory of the process, but not in the account, so all
-// connections together may have as many as the account holds.
-constexpr std::size_t kReceiveBufferBytes = 16UL << 10U;
+// Receive buffer of one connection. What the server has not read from it counts
+// as memory of the process, but not in the account, so the buffers of all
+// connections together are bounded by the bytes that the account may hold.
+// Linux doubles the size for its own overhead.
+constexpr std::size_t kReceiveBufferBytes = 12UL << 10U;
 
 struct MemoryLimits
 {
