Reserve no more than the announced length of a body

The capacity of a body that is being read could be twice what its length needs: BodyCapacity() doubled it beyond the length, and so does the string's own reserve(). A body of 20,000 bytes then counted for 78,000 with the copy that is sent, and was refused by an account with 75,000 for bodies.

--- a/mangovalve/loop/http_server.cc
+++ b/mangovalve/loop/http_server.cc
@@ -114,7 +114,20 @@
     std::min<std::uint64_t>(aBody.size() + std::uint64_t{ aMore }, aMost);
   return needed <= aBody.capacity()
            ? aBody.capacity()
-           : std::max<std::size_t>(needed, 2 * aBody.capacity());
+           : std::max<std::size_t>(
+               needed, std::min<std::uint64_t>(2 * aBody.capacity(), aMost));
+}
+
+// Gives the body exactly this capacity, unless it has more. Its own reserve()
+// would double the present one.
+auto Grow(std::string& aBody, std::size_t aCapacity) -> void
+{
+  if (aCapacity > aBody.capacity()) {
+    std::string grown;
+    grown.reserve(aCapacity);
+    grown += aBody;
+    aBody = std::move(grown);
+  }
 }
 
 auto HeadText(const ResponseHead& aHead) -> std::string
@@ -437,7 +450,7 @@
                     kConnectionBytes + caller.mBuffer.capacity())) {
       co_return ErrorCode(asio::error::no_buffer_space);
     }
-    body.reserve(capacity);
+    Grow(body, capacity);
     const auto size = body.size();
     auto error = ParseBuffered(caller.mBuffer, aParser);
     // Only bytes of the body are progress; a sender may pad chunks and trailers
