--- a/mangovalve/batch/job_partition.h
+++ b/mangovalve/batch/job_partition.h
@@ -134,8 +134,9 @@
   // another owner has changed the partition, or may have.
   auto ConfirmOwnership() -> Task<bool>;
   auto ImportProgress() -> Task<>;
-  // Loads the records of one state of the partition, which ends at mEnd; false
-  // if a page was not read, or the partition changed between two pages.
+  // Loads the records of one state of the partition, which ends at mEnd. False
+  // if a page was not read, and, with this owner stopped, if the partition
+  // changed between two pages.
   auto LoadPages() -> Task<bool>;
   auto AppendQueued() -> Task<>;
   // Repeats the append until the store has decided on it. With aEndsAt, it is
